Lay out the workspace, the decision engine's seam and a virtual-time harness

Cause: everything else grows on the seam between the pure engine (events in, actions out) and its runtimes, so it comes first and thin.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Every target works on a fresh clone with Go and make installed.
+MODULES := core ctl harness node
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+SEED ?=
+SEEDS ?= 40
+FROM ?= 1
+
+.PHONY: build test race format lint measure soak bench demo
+
+build:
+	go build $(PACKAGES)
+
+test:
+	go test $(PACKAGES)
+
+race:
+	go test -race -short ./node/...
+
+format:
+	@test -z "$$(gofmt -l $(MODULES))" || { gofmt -l $(MODULES); echo "gofmt would change these files"; exit 1; }
+
+lint: format
+	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
+
+measure:
+	@go run ./harness/cmd/harness measure $(if $(SEED),-seed $(SEED))
+
+soak:
+	@go run ./harness/cmd/harness soak -seeds $(SEEDS) -from $(FROM)
+
+bench:
+	@go run ./harness/cmd/harness bench
+
+demo:
+	@go run ./harness/cmd/harness demo $(if $(COMPARE),-compare)
--- /dev/null
+++ b/core/engine/call.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/admission"
+	"github.com/shallotspool/shallotspool/core/budget"
+	"github.com/shallotspool/shallotspool/core/document"
+	"github.com/shallotspool/shallotspool/core/wire"
+)
+
+// call is one request that this node has to answer, from its arrival to its
+// reply.
+type call struct {
+	id       CallID
+	origin   Origin
+	stage    Stage
+	request  *Request
+	route    *document.Route
+	class    document.Class
+	depth    int
+	arrived  time.Duration
+	deadline time.Duration
+	pool     budget.Pool
+	// send is the sending node's name for it, for OriginPeer.
+	send wire.SendID
+	// parent is the dispatch on whose behalf the own upstream calls, and loan
+	// the tokens it lent.
+	parent *attempt
+	loan   int
+	// owned is true while the node's key table waits for the result.
+	owned bool
+	// current is the open attempt, nil between attempts.
+	current *attempt
+	// tried holds the targets of the attempts so far.
+	tried []string
+	// mayHaveRun is true once any attempt's fate is not certain.
+	mayHaveRun bool
+	heapIndex  int
+}
+
+// rank is the admission rank of c.
+func (c *call) rank() admission.Rank {
+	return admission.RankOf(uint8(c.class), c.depth)
+}
+
+// attempt is one try to have a call run: by the own upstream, or by a send to
+// another node.
+type attempt struct {
+	id     AttemptID
+	call   *call
+	target string
+	stage  Stage
+	local  bool
+	// waiting is true while a local attempt is in the admission queue.
+	waiting bool
+	started time.Duration
+	send    wire.SendID
+	// loan is the tokens that went with a send.
+	loan int
+	// pool holds the tokens for calls the own upstream makes meanwhile.
+	pool budget.Pool
+	// children counts the open calls of the own upstream, childSince is when
+	// the first of them began, and childTime is the time at least one was open.
+	children   int
+	childSince time.Duration
+	childTime  time.Duration
+}
+
+// ownTime is the time the upstream spent on a itself by now.
+func (a *attempt) ownTime(now time.Duration) time.Duration {
+	return now - a.started - a.childTime
+}
+
+func (a *attempt) childStarted(now time.Duration) {
+	if a.children == 0 {
+		a.childSince = now
+	}
+	a.children++
+}
+
+func (a *attempt) childEnded(now time.Duration) {
+	a.children--
+	if a.children == 0 {
+		a.childTime += now - a.childSince
+	}
+}
--- /dev/null
+++ b/core/engine/finish.go
@@ -0,0 +1,192 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/admission"
+	"github.com/shallotspool/shallotspool/core/balancer"
+)
+
+// answered takes the whole answer of an attempt.
+func (n *Node) answered(ev *AttemptAnswered) {
+	a := n.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	c := a.call
+	reply := ev.Reply
+	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
+	switch reply.Outcome {
+	case OutcomeNotRun:
+		n.afterRefusal(c, reply.Reason)
+	case OutcomeUnknown:
+		c.mayHaveRun = true
+		n.afterLoss(c)
+	case OutcomeUpstreamError:
+		n.afterError(c, reply)
+	default:
+		n.end(c, reply)
+	}
+	n.drainQueue()
+}
+
+func resultOf(o Outcome) balancer.Result {
+	switch o {
+	case OutcomeAnswered, OutcomeUpstreamError, OutcomeBadRequest:
+		return balancer.ResultOK
+	case OutcomeNotRun:
+		return balancer.ResultRefused
+	default:
+		return balancer.ResultFailed
+	}
+}
+
+// failed takes the end of an attempt that got no whole answer.
+func (n *Node) failed(ev *AttemptFailed) {
+	a := n.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	c := a.call
+	left := 0
+	if ev.Cause == FailureNotSent {
+		left = a.loan
+	}
+	n.endAttempt(a, balancer.ResultFailed, left)
+	if ev.Cause == FailureNotSent {
+		n.afterRefusal(c, ReasonNoTarget)
+	} else {
+		c.mayHaveRun = true
+		n.afterLoss(c)
+	}
+	n.drainQueue()
+}
+
+// endAttempt frees what a held; left is what came back of its tokens.
+func (n *Node) endAttempt(a *attempt, r balancer.Result, left int) {
+	if a.local {
+		left = a.pool.Free()
+		n.guard.Done(n.now, admission.Sample{
+			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
+		})
+		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
+	} else {
+		n.balancer.Finished(n.now, a.target, r)
+	}
+	a.call.pool.Return(a.loan, left)
+	n.closeAttempt(a)
+}
+
+// afterRefusal goes on with a call whose last attempt certainly did not run.
+func (n *Node) afterRefusal(c *call, reason Reason) {
+	if n.mayRetry(c) && n.takeToken(c) {
+		n.try(c)
+		return
+	}
+	n.refuse(c, reason)
+}
+
+// afterLoss goes on with a call whose last attempt may have run.
+func (n *Node) afterLoss(c *call) {
+	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership
+	if repeatable && n.mayRetry(c) && n.takeToken(c) {
+		n.try(c)
+		return
+	}
+	n.end(c, Reply{Outcome: OutcomeUnknown, Reason: ReasonAttemptLost})
+}
+
+// afterError goes on with a call that an upstream failed. A node that is not
+// bound by a budget repeats it, as clients of plain proxies do.
+func (n *Node) afterError(c *call, reply Reply) {
+	if !n.cfg.Policy.Budget && n.mayRetry(c) && n.takeToken(c) {
+		n.try(c)
+		return
+	}
+	n.end(c, reply)
+}
+
+// mayRetry tells whether c may be tried on another target by this node.
+func (n *Node) mayRetry(c *call) bool {
+	return c.stage != StageRun && n.now < c.deadline
+}
+
+// takeToken takes what one more attempt costs and reports whether c had it.
+func (n *Node) takeToken(c *call) bool {
+	if n.cfg.Policy.Budget {
+		return c.pool.Spend()
+	}
+	return len(c.tried) < n.cfg.Policy.HopAttempts
+}
+
+// refuse ends c without a further attempt.
+func (n *Node) refuse(c *call, reason Reason) {
+	if c.mayHaveRun {
+		n.end(c, Reply{Outcome: OutcomeUnknown, Reason: reason})
+		return
+	}
+	n.end(c, Reply{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryLater})
+}
+
+// end answers c and forgets it.
+func (n *Node) end(c *call, reply Reply) {
+	n.settleOwner(c, reply)
+	n.forget(c)
+	reply.Tokens = c.pool.Free()
+	reply.Load = n.Load()
+	n.settleParent(c)
+	n.measureEnd(c, reply)
+	n.emit(&ReplyCall{ID: c.id, Reply: reply})
+}
+
+func (n *Node) measureEnd(c *call, reply Reply) {
+	n.emit(&Measurement{
+		Metric: MetricCallTime, Class: c.class, Reason: reply.Reason,
+		Group: c.request.Group, Value: n.now - c.arrived, Count: len(c.tried),
+	})
+}
+
+func (n *Node) forget(c *call) {
+	delete(n.calls, c.id)
+	n.deadlines.remove(c)
+	if c.origin == OriginPeer {
+		delete(n.sends, c.send)
+	}
+}
+
+// abandon stops the open attempt of c, if any.
+func (n *Node) abandon(c *call) {
+	a := c.current
+	if a == nil {
+		return
+	}
+	if a.waiting {
+		n.guard.Withdraw(uint64(a.id))
+		n.closeAttempt(a)
+		return
+	}
+	c.mayHaveRun = true
+	n.emit(&CancelAttempt{Attempt: a.id})
+	n.endAttempt(a, balancer.ResultCancelled, 0)
+}
+
+func (n *Node) callerGone(id CallID) {
+	c := n.calls[id]
+	if c == nil {
+		return
+	}
+	n.abandon(c)
+	n.refuse(c, ReasonCancelled)
+	n.drainQueue()
+}
+
+// expire ends the calls whose deadline has come.
+func (n *Node) expire() {
+	for c := n.deadlines.first(); c != nil && c.deadline <= n.now; c = n.deadlines.first() {
+		n.abandon(c)
+		n.refuse(c, ReasonDeadline)
+	}
+}
+
+// heartbeatInterval is how often a node tells its peers how it is.
+const heartbeatInterval = 250 * time.Millisecond
--- /dev/null
+++ b/core/engine/node.go
@@ -0,0 +1,121 @@
+// Package engine is the state machine of one node. It is pure: it starts no
+// goroutine, reads no clock and draws only from the seed it was given, so one
+// sequence of events always gives the same sequence of actions. The daemon runs
+// it over sockets, the tests and measurements under virtual time.
+package engine
+
+import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/admission"
+	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/document"
+	"github.com/shallotspool/shallotspool/core/invariant"
+	"github.com/shallotspool/shallotspool/core/member"
+	"github.com/shallotspool/shallotspool/core/owner"
+	"github.com/shallotspool/shallotspool/core/wire"
+)
+
+// TickInterval is how often the runtime sends a Tick; timeouts are as exact as
+// this.
+const TickInterval = 10 * time.Millisecond
+
+// Config is what a node knows of itself.
+type Config struct {
+	Self       wire.NodeID
+	Service    string
+	DataCentre string
+	Seed       uint64
+	Policy     Policy
+	Admission  admission.Config
+	// MaxCalls is the number of calls the node holds at once.
+	MaxCalls int
+}
+
+// Node is the state machine. It is not safe for concurrent use.
+type Node struct {
+	cfg Config
+	now time.Duration
+	out []Action
+
+	doc      *document.Document
+	view     *member.View
+	balancer *balancer.Balancer
+	guard    *admission.Controller
+	keys     *owner.Table
+	checker  invariant.Checker
+
+	calls    map[CallID]*call
+	attempts map[AttemptID]*attempt
+	// deadlines orders the open calls by deadline.
+	deadlines deadlineHeap
+	// sends finds the attempt that another node's send led to, for Cancel.
+	sends    map[wire.SendID]*call
+	nextID   AttemptID
+	nextSend uint64
+
+	state     wire.NodeState
+	heartbeat time.Duration
+	readAt    time.Duration
+}
+
+// New returns a node that starts at now.
+func New(cfg Config, now time.Duration) *Node {
+	return &Node{
+		cfg:      cfg,
+		now:      now,
+		view:     member.NewView(),
+		balancer: balancer.New(cfg.Seed),
+		guard:    admission.New(cfg.Admission),
+		calls:    map[CallID]*call{},
+		attempts: map[AttemptID]*attempt{},
+		sends:    map[wire.SendID]*call{},
+		state:    wire.NodeServing,
+	}
+}
+
+// Step takes one event that happened at now and returns what is to be done
+// about it, in order. now never goes back. The slice is the engine's own until
+// the next Step.
+func (n *Node) Step(now time.Duration, ev Event) []Action {
+	n.now = max(n.now, now)
+	n.out = n.out[:0]
+	switch ev := ev.(type) {
+	case *CallArrived:
+		n.arrive(ev)
+	case *CallerGone:
+		n.callerGone(ev.ID)
+	case *AttemptAnswered:
+		n.answered(ev)
+	case *AttemptFailed:
+		n.failed(ev)
+	case *FrameReceived:
+		n.frame(ev)
+	case *LinkChanged:
+		n.linkChanged(ev)
+	case *DocumentSeen:
+		n.documentSeen(ev)
+	case *MembersSeen:
+		n.membersSeen(ev)
+	case *Tick:
+		n.tick()
+	case *StopRequested:
+		n.stop()
+	case *HealthSeen, *UpstreamCrashed:
+	}
+	return n.out
+}
+
+func (n *Node) emit(a Action) { n.out = append(n.out, a) }
+
+// Violations returns the broken invariants this node has seen.
+func (n *Node) Violations() *invariant.Checker { return &n.checker }
+
+// Load returns what the node tells others of its upstream.
+func (n *Node) Load() wire.Load {
+	return wire.Load{
+		InFlight: uint32(n.guard.InFlight() + n.guard.Queued()),
+		Limit:    uint32(n.guard.Limit()),
+		Level:    uint16(n.guard.Level()),
+	}
+}
--- /dev/null
+++ b/core/engine/policy.go
@@ -0,0 +1,43 @@
+package engine
+
+// Policy switches the mechanisms of a node on. A daemon always runs Full; the
+// others exist so that a measurement shows what each mechanism is worth.
+type Policy struct {
+	// Adaptive learns the concurrency limit; otherwise it stays where it began.
+	Adaptive bool
+	// Classes refuses by class and depth; otherwise first come, first served.
+	Classes bool
+	// Levels refuses at the entry what would be refused deeper in the chain.
+	Levels bool
+	// Budget divides one allotment of retries over the chain; otherwise each
+	// layer makes up to HopAttempts attempts.
+	Budget      bool
+	HopAttempts int
+	// RetryRatio bounds retries to a share of first attempts.
+	RetryRatio bool
+	// Deadlines drops work whose deadline cannot be met and cancels work that
+	// nobody waits for.
+	Deadlines bool
+	// Outliers stops sending to targets that fail.
+	Outliers bool
+	// SlowStart gives cold upstreams a growing share of work.
+	SlowStart bool
+	// Ownership runs a request that is not idempotent at most once.
+	Ownership bool
+	// Poison bounds the upstreams that one request may crash.
+	Poison bool
+}
+
+// Full is what a daemon runs.
+func Full() Policy {
+	return Policy{
+		Adaptive: true, Classes: true, Levels: true, Budget: true, RetryRatio: true,
+		Deadlines: true, Outliers: true, SlowStart: true, Ownership: true, Poison: true,
+	}
+}
+
+// None admits everything and makes three attempts at each layer.
+func None() Policy { return Policy{HopAttempts: 3} }
+
+// Static has a fixed limit and a retry cap at each layer.
+func Static() Policy { return Policy{HopAttempts: 2} }
--- /dev/null
+++ b/core/owner/hash.go
@@ -0,0 +1,40 @@
+// Package owner sees to it that a request which is not idempotent runs at most
+// once. Each key has one owner among the target names that the document gives
+// its service; those names are the same at every node, whatever the member list
+// says, so two nodes never both take a key for their own.
+package owner
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// TargetName returns the i-th stable target name of a service, counted from 1.
+func TargetName(service string, i int) string {
+	return service + "-" + strconv.Itoa(i)
+}
+
+// Of returns the target name that owns key, by rendezvous hashing over the
+// service's stable target names; empty when targets is 0.
+func Of(service string, targets int, key string) string {
+	var best string
+	var bestScore uint64
+	for i := 1; i <= targets; i++ {
+		name := TargetName(service, i)
+		score := scoreOf(name, key)
+		if best == "" || score > bestScore {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+func scoreOf(name, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(name)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
--- /dev/null
+++ b/core/wire/frame.go
@@ -0,0 +1,122 @@
+// Package wire holds the frames that nodes send each other over their links,
+// and the identifiers that travel with calls. All durations on the wire are
+// remaining time, never instants: two instances share no clock.
+package wire
+
+import "time"
+
+// ProtocolVersion is the version in Hello; a node refuses a link whose version
+// it does not know.
+const ProtocolVersion = 1
+
+// NodeID names one run of one node: its target name and the incarnation drawn
+// when the process started.
+type NodeID struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// SendID names one send of one call by one node. A send that was fenced never
+// runs, a new send of the same key may.
+type SendID struct {
+	Node     NodeID `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// NodeState is what a node says of itself.
+type NodeState uint8
+
+// The states of a node, in the order of its life.
+const (
+	NodeStarting NodeState = iota + 1
+	NodeServing
+	NodeLeaving
+	NodeLeft
+)
+
+// Frame is one message on a link; exactly one field is set.
+type Frame struct {
+	Hello    *Hello    `cbor:"1,keyasint,omitempty"`
+	State    *State    `cbor:"2,keyasint,omitempty"`
+	Cancel   *Cancel   `cbor:"3,keyasint,omitempty"`
+	Fence    *Fence    `cbor:"4,keyasint,omitempty"`
+	Fenced   *Fenced   `cbor:"5,keyasint,omitempty"`
+	Digest   *Digest   `cbor:"6,keyasint,omitempty"`
+	Pull     *Pull     `cbor:"7,keyasint,omitempty"`
+	Document *Document `cbor:"8,keyasint,omitempty"`
+	Suspect  *Suspect  `cbor:"9,keyasint,omitempty"`
+}
+
+// Hello opens a link.
+type Hello struct {
+	Version    uint16 `cbor:"1,keyasint"`
+	Node       NodeID `cbor:"2,keyasint"`
+	Service    string `cbor:"3,keyasint"`
+	DataCentre string `cbor:"4,keyasint"`
+}
+
+// State is a heartbeat: the sender's life, document and load.
+type State struct {
+	State    NodeState `cbor:"1,keyasint"`
+	Document uint64    `cbor:"2,keyasint"`
+	Load     Load      `cbor:"3,keyasint"`
+}
+
+// Load is what a node says of its upstream; it also travels with each answer.
+type Load struct {
+	// InFlight is the number of calls the upstream runs now.
+	InFlight uint32 `cbor:"1,keyasint"`
+	// Limit is the number it can run without queueing, as the node learnt it.
+	Limit uint32 `cbor:"2,keyasint"`
+	// Level is the highest admission rank that is still admitted.
+	Level uint16 `cbor:"3,keyasint"`
+}
+
+// Cancel asks the receiver to stop working for a send.
+type Cancel struct {
+	Send SendID `cbor:"1,keyasint"`
+}
+
+// Fence asks the receiver never to run a send it has not yet run.
+type Fence struct {
+	Send SendID `cbor:"1,keyasint"`
+}
+
+// Fenced answers Fence.
+type Fenced struct {
+	Send SendID `cbor:"1,keyasint"`
+	// Ran is true when the send may have run before the fence came.
+	Ran bool `cbor:"2,keyasint"`
+}
+
+// Digest tells the version of the document in force at the sender and a hash
+// of its text.
+type Digest struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Hash    uint64 `cbor:"2,keyasint"`
+	// Refused is the highest version the sender refused, 0 if none.
+	Refused uint64 `cbor:"3,keyasint,omitempty"`
+	// Reason is why, empty if none was refused.
+	Reason string `cbor:"4,keyasint,omitempty"`
+}
+
+// Pull asks for the text of the document, if the receiver's is newer than Have.
+type Pull struct {
+	Have uint64 `cbor:"1,keyasint"`
+}
+
+// Document carries the text of a document.
+type Document struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Text    []byte `cbor:"2,keyasint"`
+}
+
+// Suspect tells that upstreams crashed while they ran requests with this
+// fingerprint.
+type Suspect struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	// Crashes is the number of upstreams of the service lost to it.
+	Crashes uint8 `cbor:"2,keyasint"`
+	// Remaining is how long the suspicion still lasts.
+	Remaining time.Duration `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/harness/cmd/harness/main.go
@@ -0,0 +1,51 @@
+// Command harness runs the measurements of this repository. It is a tool for
+// developers and is not shipped.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/shallotspool/shallotspool/harness/measure"
+)
+
+// examples is the folder of the example documents, seen from the root of the
+// repository, where make runs this command.
+const examples = "examples"
+
+func main() {
+	root := &ffcli.Command{
+		ShortUsage:  "harness <subcommand> [flags]",
+		Subcommands: []*ffcli.Command{measureCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	if errors.Is(err, flag.ErrHelp) {
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "harness:", err)
+		os.Exit(1)
+	}
+}
+
+func measureCommand() *ffcli.Command {
+	var o measure.Options
+	flags := flag.NewFlagSet("measure", flag.ContinueOnError)
+	flags.Uint64Var(&o.Seed, "seed", 0, "run this seed only; 0 runs the usual three")
+	flags.StringVar(&o.Case, "case", "", "run this case only")
+	flags.StringVar(&o.Policy, "policy", "", "run this policy only")
+	flags.StringVar(&o.Deployment, "deployment", "", "run this deployment only")
+	return &ffcli.Command{
+		Name: "measure", ShortUsage: "harness measure [flags]", FlagSet: flags,
+		ShortHelp: "run the decisions under virtual time and print what callers experience",
+		Exec: func(context.Context, []string) error {
+			return measure.All(examples, o, os.Stdout, os.Stderr)
+		},
+	}
+}
--- /dev/null
+++ b/harness/measure/all.go
@@ -0,0 +1,72 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+
+	"github.com/sourcegraph/conc/iter"
+)
+
+// Options narrow what is run; the zero value runs everything.
+type Options struct {
+	// Seed replaces the usual three, unless it is 0.
+	Seed       uint64
+	Case       string
+	Policy     string
+	Deployment string
+}
+
+func (o Options) takes(s Spec) bool {
+	return (o.Case == "" || o.Case == s.Case) &&
+		(o.Policy == "" || o.Policy == s.Policy) &&
+		(o.Deployment == "" || o.Deployment == s.Deployment)
+}
+
+func (o Options) seeds() []uint64 {
+	if o.Seed != 0 {
+		return []uint64{o.Seed}
+	}
+	return []uint64{1, 2, 3}
+}
+
+// Specs returns every run of make measure, in the order of its lines.
+func Specs(seeds []uint64) []Spec {
+	var specs []Spec
+	for _, deployment := range []string{"comics", "charter"} {
+		for _, demand := range []float64{0.7, 1.5, 3, 10} {
+			for _, policy := range []string{"none", "static", "full"} {
+				for _, seed := range seeds {
+					specs = append(specs, Spec{Case: "surge", Policy: policy, Deployment: deployment, Demand: demand, Seed: seed})
+				}
+			}
+		}
+	}
+	return specs
+}
+
+// All runs what o takes and prints its lines to out, and progress to progress.
+func All(examples string, o Options, out, progress io.Writer) error {
+	var specs []Spec
+	for _, s := range Specs(o.seeds()) {
+		if o.takes(s) {
+			specs = append(specs, s)
+		}
+	}
+	mapper := iter.Mapper[Spec, Result]{MaxGoroutines: runtime.GOMAXPROCS(0)}
+	results, err := mapper.MapErr(specs, func(s *Spec) (Result, error) {
+		r, err := Run(examples, *s)
+		_, _ = fmt.Fprint(progress, ".")
+		return r, err
+	})
+	_, _ = fmt.Fprintln(progress)
+	if err != nil {
+		return err
+	}
+	for _, r := range results {
+		if _, err := fmt.Fprintln(out, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/harness/measure/deployment.go
@@ -0,0 +1,44 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/harness/sim"
+)
+
+// deployment is one user's services, in the sizes of the brief.
+type deployment struct {
+	name     string
+	document string
+	centres  int
+	shape    map[string]sim.Shape
+	// reads and writes are the entry routes; capacity is the requests a second
+	// that the whole chain can answer.
+	reads    string
+	writes   string
+	capacity float64
+	// important is the share of demand that goes to writes.
+	important float64
+}
+
+// workTime is the mean time an upstream works on a request itself.
+const workTime = 50 * time.Millisecond
+
+var deployments = map[string]deployment{
+	"comics": {
+		name: "comics", document: "comics.yaml", centres: 3, reads: "pullreg.lists", writes: "reservo.reserve",
+		shape: map[string]sim.Shape{
+			"pullreg": {Slots: 190, Time: workTime}, "arrivo": {Slots: 190, Time: workTime},
+			"reservo": {Slots: 190, Time: workTime}, "shopxfer": {Slots: 25, Time: workTime},
+		},
+		capacity: 3 * 25 / workTime.Seconds(), important: 0.05,
+	},
+	"charter": {
+		name: "charter", document: "charter.yaml", centres: 4, reads: "calendar.trips", writes: "bookings.book",
+		shape: map[string]sim.Shape{
+			"calendar": {Slots: 55, Time: workTime}, "conditions": {Slots: 55, Time: workTime},
+			"bookings": {Slots: 55, Time: workTime}, "crewing": {Slots: 16, Time: workTime},
+		},
+		capacity: 4 * 16 / workTime.Seconds(), important: 0.05,
+	},
+}
--- /dev/null
+++ b/harness/measure/run.go
@@ -0,0 +1,115 @@
+package measure
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/harness/sim"
+)
+
+// normalDemand is the share of capacity that is asked for outside the pressure.
+const normalDemand = 0.7
+
+// scenarios are the cases by name.
+var scenarios = map[string]scenario{
+	"surge": {trigger: surge},
+}
+
+// surge multiplies the demand for the length of the pressure.
+func surge(w *sim.World, d deployment, demand float64) {
+	offer(w, d, demand-normalDemand, begin, end, 0)
+}
+
+// offer adds a share of capacity as demand, in the deployment's mix.
+func offer(w *sim.World, d deployment, share float64, from, to time.Duration, resends int) {
+	if share <= 0 {
+		return
+	}
+	rate := share * d.capacity
+	w.Offer(sim.Load{Route: d.reads, Rate: rate * (1 - d.important), From: from, To: to, Resends: resends})
+	w.Offer(sim.Load{Route: d.writes, Rate: rate * d.important, From: from, To: to, Resends: resends})
+}
+
+// Run runs one case; examples is the folder of the example documents.
+func Run(examples string, spec Spec) (Result, error) {
+	d, ok := deployments[spec.Deployment]
+	if !ok {
+		return Result{}, fmt.Errorf("no deployment %q", spec.Deployment)
+	}
+	s, ok := scenarios[spec.Case]
+	if !ok {
+		return Result{}, fmt.Errorf("no case %q", spec.Case)
+	}
+	policy, err := policyOf(spec.Policy)
+	if err != nil {
+		return Result{}, err
+	}
+	text, err := os.ReadFile(filepath.Join(examples, d.document))
+	if err != nil {
+		return Result{}, err
+	}
+	w, err := sim.NewWorld(sim.Setup{
+		Seed: spec.Seed, Document: text, DataCentres: d.centres, Shape: d.shape,
+		Configure: func(c *engine.Config) { configure(c, policy) },
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	offer(w, d, min(normalDemand, spec.Demand), warm, tail, 0)
+	s.trigger(w, d, spec.Demand)
+	w.Run(tail + 5*time.Second)
+	return resultOf(w, d, spec), nil
+}
+
+// staticLimit is the fixed limit of policy static, in calls.
+const staticLimit = 100
+
+func configure(c *engine.Config, p engine.Policy) {
+	c.Policy = p
+	switch {
+	case p.Adaptive:
+	case p.HopAttempts >= 3:
+		c.Admission.Initial, c.Admission.Max = 1<<20, 1<<20
+	default:
+		c.Admission.Initial, c.Admission.Max = staticLimit, staticLimit
+	}
+}
+
+func resultOf(w *sim.World, d deployment, spec Spec) Result {
+	s := &w.Stats
+	window := end - begin
+	offered, answered := sum(s.OfferedAt, begin, end), sum(s.AnsweredAt, begin, end)
+	possible := min(float64(offered), d.capacity*window.Seconds())
+	r := Result{Spec: spec, Depth: 4, Offered: offered, DoubleRuns: s.DoubleRuns, Mixed: s.Mixed}
+	r.Goodput = min(1, float64(answered)/possible)
+	r.Recovery = recovery(s)
+	if s.Worked > 0 {
+		r.Wasted = s.Wasted.Seconds() / s.Worked.Seconds()
+	}
+	return r
+}
+
+func sum(buckets []int, from, to time.Duration) int {
+	total := 0
+	for i := int(from / sim.Bucket); i < int(to/sim.Bucket) && i < len(buckets); i++ {
+		total += buckets[i]
+	}
+	return total
+}
+
+// recovery is the time from the end of the pressure until every later window of
+// half a second answers 0.95 of what it was offered.
+func recovery(s *sim.Stats) time.Duration {
+	const smooth = 500 * time.Millisecond
+	recovered := tail - smooth
+	for at := tail - smooth; at >= end; at -= sim.Bucket {
+		if float64(sum(s.AnsweredAt, at, at+smooth)) < 0.95*float64(sum(s.OfferedAt, at, at+smooth)) {
+			break
+		}
+		recovered = at
+	}
+	return recovered - end
+}
--- /dev/null
+++ b/harness/sim/caller.go
@@ -0,0 +1,128 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/document"
+	"github.com/shallotspool/shallotspool/core/engine"
+)
+
+// Load is a stream of requests from callers.
+type Load struct {
+	// Route is "service.route".
+	Route string
+	// Rate is in requests per second.
+	Rate float64
+	From time.Duration
+	To   time.Duration
+	// Resends is how often a caller sends a request again that got no answer.
+	Resends int
+	// ResendAfter is how long it waits before that; 0 means as it was told.
+	ResendAfter time.Duration
+}
+
+type request struct {
+	load   Load
+	route  *document.Route
+	req    *engine.Request
+	sent   time.Duration
+	sends  int
+	notRun bool
+}
+
+// Offer starts a stream of requests.
+func (w *World) Offer(l Load) {
+	route := w.route(l.Route)
+	var next func()
+	next = func() {
+		if w.now >= l.To {
+			return
+		}
+		w.issue(l, route)
+		w.After(w.jitter(time.Duration(float64(time.Second)/l.Rate)), next)
+	}
+	w.After(l.From-w.now, next)
+}
+
+func (w *World) route(name string) *document.Route {
+	service, route, _ := strings.Cut(name, ".")
+	for _, r := range w.Doc.Service(service).Routes {
+		if r.Name == route {
+			return r
+		}
+	}
+	panic("no route " + name)
+}
+
+func (w *World) issue(l Load, route *document.Route) {
+	w.Stats.nextKey++
+	key := fmt.Sprintf("k%d", w.Stats.nextKey)
+	r := &request{load: l, route: route, sent: w.now, req: newRequest(route, key)}
+	w.Stats.offered(w.now, route)
+	w.send(r)
+}
+
+func newRequest(route *document.Route, key string) *engine.Request {
+	path := strings.NewReplacer("{", "", "}", "").Replace(route.Path)
+	return &engine.Request{
+		Service: route.Service, Method: route.Method, Path: path, Key: key, Body: []byte(key),
+	}
+}
+
+// requestFor is the call an upstream makes while it works on parent.
+func (w *World) requestFor(name string, parent *engine.Request) *engine.Request {
+	return newRequest(w.route(name), parent.Key+"/"+name)
+}
+
+func (w *World) send(r *request) {
+	r.sends++
+	h := w.pickEntry(r.route.Service)
+	if h == nil {
+		return
+	}
+	incarnation := h.incarnation
+	w.After(callerDelay, func() {
+		if !h.alive {
+			w.After(callerDelay, func() { w.settle(r, engine.Reply{Outcome: engine.OutcomeUnknown}) })
+			return
+		}
+		h.Call(&engine.CallArrived{Origin: engine.OriginCaller, Request: r.req}, func(reply engine.Reply) {
+			if h.incarnation == incarnation {
+				w.After(callerDelay, func() { w.settle(r, reply) })
+			}
+		})
+	})
+}
+
+func (w *World) pickEntry(service string) *Host {
+	var alive []*Host
+	for _, h := range w.Hosts {
+		if h.service == service && h.alive {
+			alive = append(alive, h)
+		}
+	}
+	if len(alive) == 0 {
+		return nil
+	}
+	return alive[w.Random.IntN(len(alive))]
+}
+
+// settle is the caller's side of a reply.
+func (w *World) settle(r *request, reply engine.Reply) {
+	inTime := w.now-r.sent <= r.route.Wait+2*callerDelay
+	if reply.Outcome == engine.OutcomeAnswered && inTime {
+		w.Stats.answered(r, string(reply.Answer.Body) != r.req.Key)
+		return
+	}
+	if r.sends <= r.load.Resends && w.now-r.sent < r.route.Wait {
+		after := r.load.ResendAfter
+		if after == 0 {
+			after = reply.RetryAfter
+		}
+		w.After(after, func() { w.send(r) })
+		return
+	}
+	w.Stats.refused(r, reply)
+}
