--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -24,12 +24,11 @@
 }
 
 type request struct {
-	load   Load
-	route  *document.Route
-	req    *engine.Request
-	sent   time.Duration
-	sends  int
-	notRun bool
+	load  Load
+	route *document.Route
+	req   *engine.Request
+	sent  time.Duration
+	sends int
 }
 
 // Offer starts a stream of requests.
