--- /dev/null
+++ b/ctl/internal/command/report.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/shallotspool/shallotspool/ctl/internal/report"
+)
+
+func (a *app) report() *ffcli.Command {
+	flags := a.flags("report")
+	output := flags.String("output", "", "write the page to this file; empty writes it to standard output")
+	return &ffcli.Command{
+		Name: "report", ShortUsage: "shallotctl report [-output FILE] FILE...",
+		ShortHelp: "make one HTML page of measurements and metrics",
+		LongHelp: `Each FILE holds the output of make measure, a node's /metrics page, or both.
+The page holds its plots and opens without a network.`,
+		FlagSet: flags, Options: options(),
+		Exec: func(_ context.Context, files []string) error {
+			if len(files) == 0 {
+				return usagef("report needs at least one file")
+			}
+			return a.writeReport(files, *output)
+		},
+	}
+}
+
+func (a *app) writeReport(files []string, output string) error {
+	var in report.Input
+	for _, file := range files {
+		if err := readInto(&in, file); err != nil {
+			return err
+		}
+	}
+	if output == "" {
+		return in.Write(a.out)
+	}
+	f, err := os.Create(output)
+	if err != nil {
+		return errors.Wrap(err, "create page")
+	}
+	return errors.CombineErrors(in.Write(f), f.Close())
+}
+
+func readInto(in *report.Input, file string) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return errors.Wrap(err, "open input")
+	}
+	defer func() { _ = f.Close() }()
+	return in.Read(file, f)
+}
--- /dev/null
+++ b/ctl/internal/report/page.go
@@ -0,0 +1,116 @@
+package report
+
+import (
+	"html/template"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrNothing tells that the files held neither result lines nor metrics.
+var ErrNothing = errors.New("no result lines (case=...) and no refusals (" + refusedMetric + ") in these files")
+
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>shallotspool report</title>
+<style>
+body { font: 15px/1.5 sans-serif; max-width: 60em; margin: 2em auto; padding: 0 1em; color: #222; }
+table { border-collapse: collapse; margin: 1em 0; }
+th, td { border: 1px solid #bbb; padding: .2em .6em; text-align: right; }
+th:first-child, td:first-child { text-align: left; }
+svg { max-width: 100%; height: auto; }
+</style>
+</head>
+<body>
+<h1>shallotspool report</h1>
+{{range .Plots}}<figure>{{.}}</figure>
+{{end}}{{if .Rows}}<h2>Runs, mean over seeds</h2>
+<table>
+<tr><th>case</th><th>deployment</th><th>demand</th><th>policy</th><th>goodput</th><th>recovery, s</th><th>important refused</th><th>other refused</th><th>wasted work</th></tr>
+{{range .Rows}}<tr><td>{{.Case}}</td><td>{{.Deployment}}</td><td>{{.Demand}}</td><td>{{.Policy}}</td><td>{{printf "%.3f" .Goodput}}</td><td>{{printf "%.1f" .RecoverySeconds}}</td><td>{{printf "%.4f" .ImportantRefused}}</td><td>{{printf "%.4f" .OtherRefused}}</td><td>{{printf "%.3f" .Wasted}}</td></tr>
+{{end}}</table>
+{{end}}</body>
+</html>
+`))
+
+type pageData struct {
+	Plots []template.HTML
+	Rows  []Run
+}
+
+// Write writes the page for what was read. It fails with ErrNothing when there
+// is nothing to show.
+func (in *Input) Write(w io.Writer) error {
+	if len(in.Runs) == 0 && len(in.Refused) == 0 {
+		return ErrNothing
+	}
+	plots, err := in.plots()
+	if err != nil {
+		return err
+	}
+	data := pageData{Plots: plots, Rows: means(in.Runs)}
+	return errors.Wrap(page.Execute(w, data), "write page")
+}
+
+func (in *Input) plots() ([]template.HTML, error) {
+	var all []template.HTML
+	policies := distinct(in.Runs, func(r Run) string { return r.Policy })
+	for _, deployment := range distinct(in.Runs, func(r Run) string { return r.Deployment }) {
+		for _, name := range distinct(in.Runs, func(r Run) string { return r.Case }) {
+			s := goodputSeries(in.Runs, name, deployment)
+			if len(s) == 0 {
+				continue
+			}
+			p, err := lines("Goodput: "+name+", "+deployment, "demand by capacity", "goodput", s)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, p)
+		}
+		p, err := bars("Recovery: "+deployment, "seconds", policies, recoveryGroups(in.Runs, deployment, policies))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, p)
+	}
+	if len(in.Refused) == 0 {
+		return all, nil
+	}
+	reasons := distinct(in.Refused, func(c Counter) string { return c.Reason })
+	p, err := bars("Refusals by class", "requests", reasons, refusalGroups(in.Refused, reasons))
+	return append(all, p), err
+}
+
+// means folds the runs that differ only in their seed into one row.
+func means(runs []Run) []Run {
+	type key struct {
+		name, deployment, policy string
+		demand                   float64
+	}
+	index := map[key]int{}
+	counts := []float64{}
+	var rows []Run
+	for _, r := range runs {
+		k := key{r.Case, r.Deployment, r.Policy, r.Demand}
+		i, ok := index[k]
+		if !ok {
+			index[k] = len(rows)
+			rows, counts = append(rows, r), append(counts, 1)
+			continue
+		}
+		counts[i]++
+		rows[i].blend(r, 1/counts[i])
+	}
+	return rows
+}
+
+// blend moves r towards other by the given weight.
+func (r *Run) blend(other Run, weight float64) {
+	r.Goodput += (other.Goodput - r.Goodput) * weight
+	r.RecoverySeconds += (other.RecoverySeconds - r.RecoverySeconds) * weight
+	r.ImportantRefused += (other.ImportantRefused - r.ImportantRefused) * weight
+	r.OtherRefused += (other.OtherRefused - r.OtherRefused) * weight
+	r.Wasted += (other.Wasted - r.Wasted) * weight
+}
--- /dev/null
+++ b/ctl/internal/report/report_test.go
@@ -0,0 +1,61 @@
+package report_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/shallotspool/shallotspool/ctl/internal/report"
+)
+
+func TestPageOfMeasurementsAndMetrics(t *testing.T) {
+	var in report.Input
+	for _, name := range []string{"measure.txt", "metrics.txt"} {
+		f, err := os.Open(filepath.Join("testdata", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = in.Read(name, f)
+		_ = f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out bytes.Buffer
+	if err := in.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	page := out.String()
+	if strings.Contains(page, "src=") || strings.Contains(page, "href=\"http") {
+		t.Error("the page loads something from elsewhere")
+	}
+	goldie.New(t).Assert(t, "page", out.Bytes())
+}
+
+func TestBrokenLinesAreNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		"\ncase=surge demand=abc\n":                      `f:2: demand="abc" is no number`,
+		"case=surge oops\n":                              `f:1: "oops" is no key=value pair`,
+		"shallotspool_refused_total{class=\"a\"} many\n": `f:1: "many" is no number`,
+		"case=" + strings.Repeat("x", 70_000) + "\n":     `f:1: bufio.Scanner: token too long`,
+	} {
+		var in report.Input
+		err := in.Read("f", strings.NewReader(text))
+		var line *report.LineError
+		if !errors.As(err, &line) || err.Error() != want {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+}
+
+func TestNothingToShow(t *testing.T) {
+	var in report.Input
+	if err := in.Write(&bytes.Buffer{}); !errors.Is(err, report.ErrNothing) {
+		t.Errorf("got %v", err)
+	}
+}
