Carry receivers' stamps with sends

Cause: a receiver cannot tell a fresh send from a late copy: nodes share no clock, and memory of past sends must be bounded. Change: State and Reply bring the answering node's Stamp, SendCall and CallArrived bring it back as Heard. Measured: nothing yet; the fields are not used in this change. Conclusion: the age of a send can be bounded by the receiver's own clock.

--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -46,6 +46,14 @@
 	ReasonAttemptLost
 	ReasonWokeLate
 	ReasonKeyReused
+	// ReasonStale means the send carried no stamp of its receiver, or one so old
+	// that the send may be a late copy; the answer brings a new stamp.
+	ReasonStale
+	// ReasonKeyExpired means the node that issued the key has restarted since,
+	// or issued it longer ago than the resend window.
+	ReasonKeyExpired
+	// ReasonUpstreamCrashed means the upstream crashed while it ran the call.
+	ReasonUpstreamCrashed
 )
 
 // Reply is what a call ends with, between nodes as well as towards callers.
@@ -60,6 +68,8 @@
 	Tokens int
 	// Load is the state of the answering node's upstream.
 	Load wire.Load
+	// Stamp is the answering node's time, set in answers to other nodes.
+	Stamp wire.Stamp
 }
 
 // Action is what the engine asks its runtime to do.
@@ -85,6 +95,8 @@
 	Tokens  int
 	Depth   int
 	Send    wire.SendID
+	// Heard is the latest stamp of the receiver, for CallArrived.Heard.
+	Heard wire.Stamp
 }
 
 // ReplyCall ends a call; each CallArrived gets exactly one.
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -84,6 +84,8 @@
 	Tokens int
 	Depth  int
 	Send   wire.SendID
+	// Heard is the stamp of this node that the sender last got.
+	Heard wire.Stamp
 }
 
 // CallerGone tells that nobody waits for the call any more.
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -23,6 +23,15 @@
 	Sequence uint64 `cbor:"2,keyasint"`
 }
 
+// Stamp is one instant of one run of a node, as that node counts time. Nodes
+// hand their stamps out and get them back with each send, so a receiver knows
+// how old a send can be at most without sharing a clock with anybody.
+type Stamp struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	// Clock is the time since the stamping node started, in milliseconds.
+	Clock uint64 `cbor:"2,keyasint"`
+}
+
 // NodeState is what a node says of itself.
 type NodeState uint8
 
@@ -60,6 +69,8 @@
 	State    NodeState `cbor:"1,keyasint"`
 	Document uint64    `cbor:"2,keyasint"`
 	Load     Load      `cbor:"3,keyasint"`
+	// Stamp is the sender's time now.
+	Stamp Stamp `cbor:"4,keyasint"`
 }
 
 // Load is what a node says of its upstream; it also travels with each answer.
