Check documents strictly and report every problem with its place

Cause: Parse stopped at the first error, let contradictions through, and its errors had no stable type for the daemon and the client to build on. Change: document.Parse walks the YAML tree, collects typed Problems (line, column, path, reason, suggestion; 100 at most) and checks ranges, classes, ambiguous routes, calls (unknown, cycles, depth, waits, idempotence). A route that is not idempotent is repeated only where it certainly did not run; the new field retry_on lets an operator ask for more, and asking for it there is refused. Diff, Explain and Render serve the client. Conclusion: both examples pass unchanged.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -62,6 +62,10 @@
 	// Retries is the number of tokens a call that enters here has for retries,
 	// over its whole call chain.
 	Retries int
+	// RetryLost allows a retry after an attempt that may have run. It is never
+	// set for a route that is not idempotent: of such a route only an attempt
+	// that certainly did not run is repeated.
+	RetryLost bool
 	// Calls names the routes, as "service.route", that this one calls.
 	Calls []string
 
--- a/core/document/parse.go
+++ b/core/document/parse.go
@@ -1,85 +1,114 @@
 package document
 
 import (
-	"time"
+	"bytes"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
 )
 
-// MaxBytes is the size of the longest document the platform holds.
-const MaxBytes = 1 << 20
+// Parse reads and checks the text of a document. Its error is a *Problems that
+// holds everything found wrong.
+func Parse(text []byte) (*Document, error) { return ParseFile("", text) }
 
-type documentText struct {
-	Version      uint64                  `yaml:"version"`
-	Name         string                  `yaml:"name"`
-	Classes      []string                `yaml:"classes"`
-	ResendWindow time.Duration           `yaml:"resend_window"`
-	Answers      answersText             `yaml:"answers"`
-	Groups       []string                `yaml:"groups"`
-	Services     map[string]*serviceText `yaml:"services"`
-}
-
-type answersText struct {
-	Bytes int64 `yaml:"bytes"`
-	Keys  int   `yaml:"keys"`
-}
-
-type serviceText struct {
-	Targets int                   `yaml:"targets"`
-	Routes  map[string]*routeText `yaml:"routes"`
-}
-
-type routeText struct {
-	Method     string        `yaml:"method"`
-	Path       string        `yaml:"path"`
-	Class      string        `yaml:"class"`
-	Idempotent bool          `yaml:"idempotent"`
-	Wait       time.Duration `yaml:"wait"`
-	Retries    int           `yaml:"retries"`
-	Calls      []string      `yaml:"calls"`
+// ParseFile is Parse for text that came from the named file; the name goes into
+// the error and nowhere else.
+func ParseFile(file string, text []byte) (*Document, error) {
+	var problems Problems
+	d := parse(text, &problems)
+	if found := problems.sorted(); found != nil {
+		found.File = file
+		return nil, errors.WithStack(found)
+	}
+	return d, nil
 }
 
-// Parse reads and checks the text of a document.
-func Parse(text []byte) (*Document, error) {
-	if len(text) > MaxBytes {
-		return nil, errors.Newf("document has %d bytes, more than %d", len(text), MaxBytes)
+func parse(text []byte, problems *Problems) *Document {
+	if !checkShape(text, problems) {
+		return nil
 	}
-	var t documentText
-	if err := yaml.UnmarshalWithOptions(text, &t, yaml.Strict()); err != nil {
-		return nil, errors.Wrap(err, "document")
+	root := syntax(text, problems)
+	if root == nil {
+		return nil
 	}
-	return build(&t)
+	b := &builder{reader: reader{problems: problems}, sources: map[*Route]*routeSource{}}
+	d := b.document(root)
+	if d == nil {
+		return nil
+	}
+	d.Index()
+	b.checkRoutes(d)
+	b.checkCalls(d)
+	return d
 }
 
-func build(t *documentText) (*Document, error) {
-	d := &Document{
-		Version: Version(t.Version), Name: t.Name, Classes: t.Classes,
-		ResendWindow: t.ResendWindow, Answers: AnswerLimits(t.Answers), Groups: t.Groups,
+// checkShape refuses text that would cost too much to read: it is too long, has
+// a line too long, or opens too many brackets.
+func checkShape(text []byte, problems *Problems) bool {
+	if len(text) > MaxBytes {
+		problems.add(Problem{Reason: fmt.Sprintf("the document has %d bytes, more than %d", len(text), MaxBytes)})
+		return false
 	}
-	for _, name := range sortedKeys(t.Services) {
-		s := &Service{Name: name, Targets: t.Services[name].Targets}
-		for _, routeName := range sortedKeys(t.Services[name].Routes) {
-			r, err := d.route(routeName, t.Services[name].Routes[routeName])
-			if err != nil {
-				return nil, errors.Wrapf(err, "services.%s.routes", name)
+	open := 0
+	line := 0
+	for part := range bytes.Lines(text) {
+		line++
+		if len(part) > MaxLineBytes {
+			problems.add(Problem{Line: line, Column: 1, Reason: fmt.Sprintf("the line has more than %d bytes", MaxLineBytes)})
+			return false
+		}
+		content, _, _ := bytes.Cut(part, []byte("#"))
+		for column, c := range content {
+			switch c {
+			case '[', '{':
+				open++
+			case ']', '}':
+				open = max(0, open-1)
+			}
+			if open > MaxNesting {
+				problems.add(Problem{Line: line, Column: column + 1, Reason: fmt.Sprintf("more than %d brackets are open", MaxNesting)})
+				return false
 			}
-			s.Routes = append(s.Routes, r)
 		}
-		d.Services = append(d.Services, s)
 	}
-	d.Index()
-	return d, nil
+	return true
 }
 
-func (d *Document) route(name string, t *routeText) (*Route, error) {
-	for i, class := range d.Classes {
-		if class == t.Class {
-			return &Route{
-				Name: name, Method: t.Method, Path: t.Path, Class: Class(i),
-				Idempotent: t.Idempotent, Wait: t.Wait, Retries: t.Retries, Calls: t.Calls,
-			}, nil
+// syntax returns the one YAML document in text, or nil.
+func syntax(text []byte, problems *Problems) (root ast.Node) {
+	// The library can panic on malformed text; that is a problem of the text.
+	defer func() {
+		if recover() != nil {
+			problems.add(Problem{Line: 1, Column: 1, Reason: "the text is not valid YAML"})
+			root = nil
 		}
+	}()
+	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		problems.add(syntaxProblem(err))
+		return nil
+	}
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+		problems.add(Problem{Line: 1, Column: 1, Reason: "the document is empty"})
+		return nil
 	}
-	return nil, errors.Newf("%s: unknown class %q", name, t.Class)
+	if len(file.Docs) > 1 {
+		problems.add(Problem{Line: 1, Column: 1, Reason: "the text holds more than one YAML document"})
+		return nil
+	}
+	return file.Docs[0].Body
 }
+
+func syntaxProblem(err error) Problem {
+	var located yaml.Error
+	if !errors.As(err, &located) || located.GetToken() == nil {
+		return Problem{Line: 1, Column: 1, Reason: "the text is not valid YAML"}
+	}
+	at := located.GetToken().Position
+	return Problem{Line: at.Line, Column: at.Column, Reason: "not valid YAML: " + located.GetMessage()}
+}
+
+func (p *Problems) add(one Problem) { p.List = append(p.List, one) }
--- /dev/null
+++ b/core/document/parse_test.go
@@ -0,0 +1,62 @@
+package document_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/shallotspool/shallotspool/core/document"
+)
+
+// TestMalformed compares every problem of each malformed document, with its
+// line, column, path, reason and suggestion.
+func TestMalformed(t *testing.T) {
+	files, err := filepath.Glob("testdata/malformed/*.yaml")
+	if err != nil || len(files) < 25 {
+		t.Fatalf("%d malformed documents, error %v", len(files), err)
+	}
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/malformed"))
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".yaml")
+		t.Run(name, func(t *testing.T) {
+			text := read(t, file)
+			_, err := document.ParseFile(name+".yaml", text)
+			var problems *document.Problems
+			if !errors.As(err, &problems) {
+				t.Fatalf("accepted, or no *Problems: %v", err)
+			}
+			g.Assert(t, name, []byte(problems.Error()+"\n"))
+		})
+	}
+}
+
+func TestTooLong(t *testing.T) {
+	if _, err := document.Parse(make([]byte, document.MaxBytes+1)); err == nil {
+		t.Fatal("accepted")
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	files, _ := filepath.Glob("../../examples/*.yaml")
+	if len(files) < 2 {
+		t.Fatal("no examples")
+	}
+	for _, file := range files {
+		if _, err := document.ParseFile(file, read(t, file)); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func read(t testing.TB, file string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
--- /dev/null
+++ b/core/document/property_test.go
@@ -0,0 +1,118 @@
+package document_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/shallotspool/shallotspool/core/document"
+)
+
+// draw makes a document without contradictions: each service calls only the
+// next one, reads call reads, and waits shrink on the way down.
+func draw(t *rapid.T) *document.Document {
+	name := rapid.StringMatching(`[a-z][a-z0-9_-]{0,8}`)
+	d := &document.Document{
+		Version:      document.Version(rapid.Uint64Range(1, document.MaxVersion).Draw(t, "version")),
+		Name:         name.Draw(t, "name"),
+		Classes:      rapid.SliceOfNDistinct(name, 1, 5, rapid.ID[string]).Draw(t, "classes"),
+		ResendWindow: time.Duration(rapid.IntRange(60, 600).Draw(t, "window")) * time.Second,
+		Answers:      document.AnswerLimits{Bytes: rapid.Int64Range(1<<10, 64<<20).Draw(t, "bytes"), Keys: rapid.IntRange(1, 1000).Draw(t, "keys")},
+		Groups:       rapid.SliceOfNDistinct(name, 0, 3, rapid.ID[string]).Draw(t, "groups"),
+	}
+	services := rapid.IntRange(1, 8).Draw(t, "services")
+	for i := range services {
+		s := &document.Service{Name: fmt.Sprintf("s%d", i), Targets: rapid.IntRange(1, 9).Draw(t, "targets")}
+		for _, method := range []string{"GET", "POST"} {
+			r := &document.Route{
+				Name: fmt.Sprintf("r-%s", map[string]string{"GET": "read", "POST": "write"}[method]), Method: method,
+				Path: "/a/{b}", Class: document.Class(rapid.IntRange(0, len(d.Classes)-1).Draw(t, "class")),
+				Idempotent: method == "GET", Wait: time.Duration(60-i) * time.Second,
+				Retries: rapid.IntRange(0, 10).Draw(t, "retries"),
+			}
+			r.RetryLost = r.Idempotent && rapid.Bool().Draw(t, "lost")
+			if i+1 < services && rapid.Bool().Draw(t, "calls") {
+				r.Calls = []string{fmt.Sprintf("s%d.%s", i+1, r.Name)}
+			}
+			s.Routes = append(s.Routes, r)
+		}
+		d.Services = append(d.Services, s)
+	}
+	d.Index()
+	return d
+}
+
+// TestRenderParses: a rendered document parses back equal, and Diff sees none.
+func TestRenderParses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := draw(t)
+		if len(want.Groups) == 0 {
+			want.Groups = nil
+		}
+		got, err := document.Parse(document.Render(want))
+		if err != nil {
+			t.Fatalf("%v\n%s", err, document.Render(want))
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("differs: %v", document.Diff(want, got))
+		}
+		if changes := document.Diff(want, got); len(changes) != 0 {
+			t.Fatalf("changes: %v", changes)
+		}
+	})
+}
+
+// FuzzParse: any text is accepted or refused with located problems, and what
+// is accepted renders to an equal document.
+func FuzzParse(f *testing.F) {
+	files, _ := filepath.Glob("testdata/malformed/*.yaml")
+	for _, file := range append(files, "testdata/valid.yaml") {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, err := document.Parse(text)
+		if err != nil {
+			var problems *document.Problems
+			if !errors.As(err, &problems) || len(problems.List) == 0 || len(problems.List) > document.MaxProblems {
+				t.Fatalf("not a bounded *Problems: %v", err)
+			}
+			return
+		}
+		again, err := document.Parse(document.Render(d))
+		if err != nil || len(document.Diff(d, again)) != 0 {
+			t.Fatalf("rendered document differs: %v", err)
+		}
+	})
+}
+
+// TestResolveExplain shows what operators see of one request, and of a change.
+func TestResolveExplain(t *testing.T) {
+	older, err := document.Parse(read(t, "testdata/valid.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := document.Explain(older, "desk", "GET", "/lists/r7?x=1")
+	if err != nil || e.Class != "lookup" || e.Attempts != 4 || e.Depth != 2 || e.Wait != 2*time.Second || !e.RetryLost {
+		t.Fatalf("%+v, %v", e, err)
+	}
+	if _, err := document.Explain(older, "desk", "GET", "/nowhere"); !errors.Is(err, document.ErrNoRoute) {
+		t.Fatalf("error %v", err)
+	}
+	newer, _ := document.Parse(document.Render(older))
+	newer.Services[0].Routes[0].Wait = time.Second
+	newer.Services = newer.Services[:1]
+	changes := document.Diff(older, newer)
+	if len(changes) != 18 || changes[0].String() != "~ services.desk.routes.charge.wait: 3s -> 1s" {
+		t.Fatalf("%d changes, first %v", len(changes), changes[0])
+	}
+}
--- a/core/document/resolve.go
+++ b/core/document/resolve.go
@@ -62,3 +62,18 @@
 	}
 	return strings.Split(path, "/")
 }
+
+// Route returns the route named "service.route", or nil.
+func (d *Document) Route(name string) *Route {
+	service, route, _ := strings.Cut(name, ".")
+	s := d.Service(service)
+	if s == nil {
+		return nil
+	}
+	for _, r := range s.Routes {
+		if r.Name == route {
+			return r
+		}
+	}
+	return nil
+}
