Give the engine a status and names for outcomes and reasons

Cause: operators and the wire need the engine's state and its typed refusals by name; neither existed. Change: core/status holds typed, JSON-tagged structs; engine.(*Node).Status fills them; Outcome and Reason have names both ways; refusals are counted by class and reason. Charts and suspects are empty until their owners fill them. Measured: go test ./core/... ./harness/... passes; no speed was measured.

--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -111,6 +111,7 @@
 	}
 	reply.Tokens = c.pool.Free()
 	reply.Load = n.Load()
+	n.countRefusal(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
 }
 
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -140,6 +140,7 @@
 }
 
 func (n *Node) measureEnd(c *call, reply Reply) {
+	n.countRefusal(c, reply)
 	n.emit(&Measurement{
 		Metric: MetricCallTime, Class: c.class, Reason: reply.Reason,
 		Group: c.request.Group, Value: n.now - c.arrived, Count: len(c.tried),
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -53,6 +53,8 @@
 	sends    map[wire.SendID]*call
 	nextID   AttemptID
 	nextSend uint64
+	// refused counts refusals for Status.
+	refused map[refusal]uint64
 
 	state     wire.NodeState
 	heartbeat time.Duration
@@ -70,6 +72,7 @@
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
+		refused:  map[refusal]uint64{},
 		state:    wire.NodeServing,
 	}
 }
--- /dev/null
+++ b/core/engine/status.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/shallotspool/shallotspool/core/document"
+	"github.com/shallotspool/shallotspool/core/member"
+	"github.com/shallotspool/shallotspool/core/status"
+)
+
+// refusal is what refusals are counted by.
+type refusal struct {
+	class  document.Class
+	reason Reason
+}
+
+// countRefusal counts a reply that is a refusal.
+func (n *Node) countRefusal(c *call, reply Reply) {
+	if reply.Reason != ReasonNone {
+		n.refused[refusal{c.class, reply.Reason}]++
+	}
+}
+
+// Status returns what the node tells operators of itself.
+func (n *Node) Status() status.Node {
+	s := status.Node{
+		Target: n.cfg.Self.Target, Incarnation: n.cfg.Self.Incarnation,
+		Service: n.cfg.Service, DataCentre: n.cfg.DataCentre, State: nodeStateName(n.state),
+		Limit: n.guard.Limit(), InFlight: n.guard.InFlight(), Queued: n.guard.Queued(),
+		Level:   uint16(n.guard.Level()),
+		Refused: n.statusRefused(), Peers: n.statusPeers(),
+		Charts: []status.Chart{}, Suspects: []status.Suspect{},
+		Violations: n.statusViolations(), ViolationCount: n.checker.Count(),
+	}
+	s.PeerCount = len(n.view.All())
+	if n.doc != nil {
+		s.Document.Version = uint64(n.doc.Version)
+	}
+	return s
+}
+
+func (n *Node) statusRefused() []status.Refused {
+	keys := make([]refusal, 0, len(n.refused))
+	for k := range n.refused {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b refusal) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.reason, b.reason))
+	})
+	list := make([]status.Refused, len(keys))
+	for i, k := range keys {
+		list[i] = status.Refused{Class: n.className(k.class), Reason: k.reason.String(), Count: n.refused[k]}
+	}
+	return list
+}
+
+func (n *Node) className(c document.Class) string {
+	if n.doc == nil {
+		return "unknown"
+	}
+	return n.doc.ClassName(c)
+}
+
+func (n *Node) statusPeers() []status.Peer {
+	list := []status.Peer{}
+	for _, p := range n.view.All() {
+		if len(list) == status.MaxPeers {
+			break
+		}
+		list = append(list, statusPeer(p))
+	}
+	return list
+}
+
+func statusPeer(p *member.Peer) status.Peer {
+	return status.Peer{
+		Target: p.Target, Incarnation: p.Incarnation, Service: p.Service, DataCentre: p.DataCentre,
+		State: nodeStateName(p.State), Leaving: p.Leaving, Linked: p.Linked,
+		InFlight: int(p.Load.InFlight), Limit: int(p.Load.Limit),
+	}
+}
+
+func (n *Node) statusViolations() []status.Violation {
+	list := []status.Violation{}
+	for _, v := range n.checker.Recent() {
+		list = append(list, status.Violation{Name: string(v.Name), Call: v.Call, Detail: v.Detail})
+	}
+	return list
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -65,6 +65,16 @@
 // Takes tells whether p is given new work.
 func (p *Peer) Takes() bool { return !p.Leaving && p.State == wire.NodeServing }
 
+// All returns the known nodes, by target name.
+func (v *View) All() []*Peer {
+	all := make([]*Peer, 0, len(v.peers))
+	for _, p := range v.peers {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *Peer) int { return strings.Compare(a.Target, b.Target) })
+	return all
+}
+
 // Linked returns the nodes this one has a link to, in a fixed order.
 func (v *View) Linked() []*Peer {
 	var linked []*Peer
