Conserve attempts over the whole call tree and count them

Cause: a call made for a dispatch that had ended got an allotment of its own, a resent request got a new one, the calls of a repeated run were free, and a retry after a refusal by a key's owner went past the owner.

Change: a repeat of a call that may have run pays for every call of its tree, and is made only if that can be paid; a resend of the same key draws on what the first send left (bounded table by key at the entry and the owner); calls for a dispatch that has ended are refused; a call that belongs to an owner is never tried elsewhere. Pools assert that they neither make nor lose tokens. The harness counts attempts over all nodes (harness/attempts) and breaks connections when a node dies; its upstreams may call in parallel.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -7,12 +7,17 @@
 // Pool holds the retry tokens of one call at one node. It is not safe for
 // concurrent use.
 type Pool struct {
-	free int
-	lent int
+	given int
+	free  int
+	lent  int
+	spent int
 }
 
 // NewPool returns a pool of n tokens.
-func NewPool(n int) Pool { return Pool{free: max(n, 0)} }
+func NewPool(n int) Pool {
+	n = max(n, 0)
+	return Pool{given: n, free: n}
+}
 
 // Free returns the tokens in hand.
 func (p *Pool) Free() int { return p.free }
@@ -23,15 +28,32 @@
 		return false
 	}
 	p.free--
+	p.spent++
 	return true
 }
 
 // LendAll hands out every token in hand: the receiver is the only one at work.
 func (p *Pool) LendAll() int { return p.lend(p.free) }
 
-// LendShare hands out half of the tokens in hand, rounded up: another call may
-// yet be made beside this one.
-func (p *Pool) LendShare() int { return p.lend((p.free + 1) / 2) }
+// LendShare hands out half of the tokens in hand, rounded up, because another
+// call may yet be made beside this one; but at least need, if there are so many.
+func (p *Pool) LendShare(need int) int {
+	return p.lend(min(max((p.free+1)/2, need), p.free))
+}
+
+// LendFor hands out tokens for an attempt at a call whose tree holds size
+// calls, itself included. A repeat of that attempt costs size tokens; as many
+// are kept when at least as many are left to lend. A call that makes no calls
+// needs no tokens.
+func (p *Pool) LendFor(size int) int {
+	if size <= 1 {
+		return 0
+	}
+	if p.free >= 2*size {
+		return p.lend(p.free - size)
+	}
+	return p.LendAll()
+}
 
 func (p *Pool) lend(n int) int {
 	p.free -= n
@@ -45,3 +67,9 @@
 	p.lent -= n
 	p.free += min(max(left, 0), n)
 }
+
+// Conserved reports whether the pool has neither spent, lent nor kept more than
+// it was given. It is false only after a Return that matches no loan.
+func (p *Pool) Conserved() bool {
+	return p.free >= 0 && p.lent >= 0 && p.free+p.lent+p.spent <= p.given
+}
--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -46,6 +46,8 @@
 	ReasonAttemptLost
 	ReasonWokeLate
 	ReasonKeyReused
+	// ReasonBudget means that the request's attempts are spent.
+	ReasonBudget
 )
 
 // Reply is what a call ends with, between nodes as well as towards callers.
@@ -85,6 +87,8 @@
 	Tokens  int
 	Depth   int
 	Send    wire.SendID
+	// Rerun tells that an earlier attempt at the call may have run.
+	Rerun bool
 }
 
 // ReplyCall ends a call; each CallArrived gets exactly one.
--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -5,6 +5,7 @@
 
 	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
+	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -18,6 +19,9 @@
 		id: ev.ID, origin: ev.Origin, stage: ev.Stage, request: ev.Request,
 		arrived: n.now, send: ev.Send, heapIndex: -1,
 	}
+	if c.origin == OriginPeer {
+		c.pool = budget.NewPool(ev.Tokens)
+	}
 	if reason := n.resolve(c, ev); reason != ReasonNone {
 		n.refuseArrival(c, reason)
 		return
@@ -51,7 +55,9 @@
 	if c.route == nil {
 		return ReasonNoRoute
 	}
-	n.inherit(c, ev)
+	if !n.inherit(c, ev) {
+		return ReasonCancelled
+	}
 	if c.deadline <= n.now {
 		return ReasonDeadline
 	}
@@ -71,24 +77,46 @@
 }
 
 // inherit sets class, deadline, depth and tokens. Only what came from another
-// node or from this node's own dispatch counts beside the document.
-func (n *Node) inherit(c *call, ev *CallArrived) {
+// node or from this node's own dispatch counts beside the document. It reports
+// false for a call made on behalf of a dispatch that has ended: the request it
+// belongs to is over, and its allotment with it.
+func (n *Node) inherit(c *call, ev *CallArrived) bool {
 	c.class = c.route.Class
 	wait := c.route.Wait
-	if ev.Wait > 0 {
+	if ev.Wait > 0 && n.cfg.Policy.Deadlines {
 		wait = min(wait, ev.Wait)
 	}
 	c.deadline = n.now + wait
 	parent := n.attempts[ev.Parent]
 	switch {
 	case ev.Origin == OriginPeer:
-		c.class, c.depth = ev.Class, ev.Depth
-		c.pool = budget.NewPool(ev.Tokens)
+		c.class, c.depth, c.rerun = ev.Class, ev.Depth, ev.Rerun
+		n.recall(c, ev.Tokens)
 	case ev.Origin == OriginUpstream && parent != nil && parent.local:
 		n.adopt(c, parent)
+	case ev.Origin == OriginUpstream && ev.Parent != 0 && n.cfg.Policy.Budget:
+		return false
 	default:
 		c.pool = budget.NewPool(c.route.Retries)
+		n.recall(c, c.route.Retries)
 	}
+	return true
+}
+
+// maxAllotments is the number of keys whose allotment a node remembers.
+const maxAllotments = 1 << 14
+
+// recall lets a resent request draw on the allotment of its first send. That is
+// the business of the node where the request enters and of its key's owner.
+func (n *Node) recall(c *call, tokens int) {
+	if !n.cfg.Policy.Budget || c.request.Key == "" || c.stage == StageRun {
+		return
+	}
+	d := n.allotments.Draw(n.now, c.request.Key, tokens, c.deadline)
+	c.pool = budget.NewPool(d.Tokens)
+	c.again = d.Again
+	c.rerun = c.rerun || d.Rerun
+	c.remembered = d.Kept
 }
 
 // adopt makes c a child of the dispatch on whose behalf the upstream calls.
@@ -96,15 +124,19 @@
 	c.parent = parent
 	c.class = parent.call.class
 	c.depth = parent.call.depth + 1
-	c.deadline = min(c.deadline, parent.call.deadline)
-	c.loan = parent.pool.LendShare()
+	if n.cfg.Policy.Deadlines {
+		c.deadline = min(c.deadline, parent.call.deadline)
+	}
+	c.again, c.rerun = parent.call.rerun, parent.call.rerun
+	c.loan = parent.pool.LendShare(n.firstCost(c))
 	c.pool = budget.NewPool(c.loan)
-	parent.childStarted(n.now)
+	parent.childStarted(n.now, c)
 }
 
 // refuseArrival answers a call that was never registered.
 func (n *Node) refuseArrival(c *call, reason Reason) {
 	n.settleParent(c)
+	n.settleAllotment(c, OutcomeNotRun)
 	reply := Reply{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryLater}
 	if reason == ReasonNoRoute {
 		reply = Reply{Outcome: OutcomeBadRequest, Reason: reason}
@@ -119,7 +151,25 @@
 	if c.parent == nil {
 		return
 	}
-	c.parent.childEnded(n.now)
+	c.parent.childEnded(n.now, c)
 	c.parent.pool.Return(c.loan, c.pool.Free())
+	n.checkPool(&c.parent.pool, c)
 	c.parent = nil
 }
+
+// settleAllotment keeps what c left of its tokens for a resend.
+func (n *Node) settleAllotment(c *call, o Outcome) {
+	if !c.remembered {
+		return
+	}
+	c.remembered = false
+	ran := c.mayHaveRun || o == OutcomeAnswered || o == OutcomeUpstreamError || o == OutcomeUnknown
+	n.allotments.Settle(c.request.Key, c.pool.Free(), c.launched, ran)
+}
+
+// checkPool asserts that p lends, spends and returns no more than it was given.
+func (n *Node) checkPool(p *budget.Pool, c *call) {
+	n.checker.Check(p.Conserved(), invariant.Violation{
+		Name: invariant.AttemptBudget, Call: uint64(c.id), Detail: "tokens were made from nothing",
+	})
+}
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -36,7 +37,19 @@
 	tried []string
 	// mayHaveRun is true once any attempt's fate is not certain.
 	mayHaveRun bool
-	heapIndex  int
+	// again is true when an attempt at c was made before c arrived, so that its
+	// first attempt here is a repeat.
+	again bool
+	// rerun is true when c may have run before, so that the calls made on its
+	// behalf are repeats.
+	rerun bool
+	// launched is true once an attempt at c left this node's queue.
+	launched bool
+	// remembered is true when the allotment has to be settled under c's key.
+	remembered bool
+	// overloads counts the refusals for overload.
+	overloads int
+	heapIndex int
 }
 
 // rank is the admission rank of c.
@@ -60,9 +73,9 @@
 	loan int
 	// pool holds the tokens for calls the own upstream makes meanwhile.
 	pool budget.Pool
-	// children counts the open calls of the own upstream, childSince is when
-	// the first of them began, and childTime is the time at least one was open.
-	children   int
+	// children are the open calls of the own upstream, childSince is when the
+	// first of them began, and childTime is the time at least one was open.
+	children   []*call
 	childSince time.Duration
 	childTime  time.Duration
 }
@@ -72,16 +85,17 @@
 	return now - a.started - a.childTime
 }
 
-func (a *attempt) childStarted(now time.Duration) {
-	if a.children == 0 {
+func (a *attempt) childStarted(now time.Duration, child *call) {
+	if len(a.children) == 0 {
 		a.childSince = now
 	}
-	a.children++
+	a.children = append(a.children, child)
 }
 
-func (a *attempt) childEnded(now time.Duration) {
-	a.children--
-	if a.children == 0 {
+func (a *attempt) childEnded(now time.Duration, child *call) {
+	i := slices.Index(a.children, child)
+	a.children = slices.Delete(a.children, i, i+1)
+	if len(a.children) == 0 {
 		a.childTime += now - a.childSince
 	}
 }
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -84,6 +84,9 @@
 	Tokens int
 	Depth  int
 	Send   wire.SendID
+	// Rerun is true when an earlier attempt at the call may have run, so that
+	// the calls it makes are repeats.
+	Rerun bool
 }
 
 // CallerGone tells that nobody waits for the call any more.
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -5,6 +5,7 @@
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/invariant"
 )
 
 // answered takes the whole answer of an attempt.
@@ -65,6 +66,7 @@
 // endAttempt frees what a held; left is what came back of its tokens.
 func (n *Node) endAttempt(a *attempt, r balancer.Result, left int) {
 	if a.local {
+		a.call.launched = true
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
 			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
@@ -73,24 +75,28 @@
 	} else {
 		n.balancer.Finished(n.now, a.target, r)
 	}
+	n.checker.Check(left <= a.loan, invariant.Violation{
+		Name: invariant.AttemptBudget, Call: uint64(a.call.id), Detail: "more tokens came back than went out",
+	})
 	a.call.pool.Return(a.loan, left)
 	n.closeAttempt(a)
 }
 
 // afterRefusal goes on with a call whose last attempt certainly did not run.
 func (n *Node) afterRefusal(c *call, reason Reason) {
-	if n.mayRetry(c) && n.takeToken(c) {
-		n.try(c)
-		return
+	if reason == ReasonOverload {
+		c.overloads++
+	}
+	if !n.retry(c, 1) {
+		n.refuse(c, reason)
 	}
-	n.refuse(c, reason)
 }
 
 // afterLoss goes on with a call whose last attempt may have run.
 func (n *Node) afterLoss(c *call) {
 	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership
-	if repeatable && n.mayRetry(c) && n.takeToken(c) {
-		n.try(c)
+	c.rerun = true
+	if repeatable && n.retry(c, n.treeSize(c.route)) {
 		return
 	}
 	n.end(c, Reply{Outcome: OutcomeUnknown, Reason: ReasonAttemptLost})
@@ -99,26 +105,12 @@
 // afterError goes on with a call that an upstream failed. A node that is not
 // bound by a budget repeats it, as clients of plain proxies do.
 func (n *Node) afterError(c *call, reply Reply) {
-	if !n.cfg.Policy.Budget && n.mayRetry(c) && n.takeToken(c) {
-		n.try(c)
+	if !n.cfg.Policy.Budget && n.retry(c, 1) {
 		return
 	}
 	n.end(c, reply)
 }
 
-// mayRetry tells whether c may be tried on another target by this node.
-func (n *Node) mayRetry(c *call) bool {
-	return c.stage != StageRun && n.now < c.deadline
-}
-
-// takeToken takes what one more attempt costs and reports whether c had it.
-func (n *Node) takeToken(c *call) bool {
-	if n.cfg.Policy.Budget {
-		return c.pool.Spend()
-	}
-	return len(c.tried) < n.cfg.Policy.HopAttempts
-}
-
 // refuse ends c without a further attempt.
 func (n *Node) refuse(c *call, reason Reason) {
 	if c.mayHaveRun {
@@ -132,6 +124,8 @@
 func (n *Node) end(c *call, reply Reply) {
 	n.settleOwner(c, reply)
 	n.forget(c)
+	n.checkPool(&c.pool, c)
+	n.settleAllotment(c, reply.Outcome)
 	reply.Tokens = c.pool.Free()
 	reply.Load = n.Load()
 	n.settleParent(c)
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/member"
@@ -50,7 +51,12 @@
 	// deadlines orders the open calls by deadline.
 	deadlines deadlineHeap
 	// sends finds the attempt that another node's send led to, for Cancel.
-	sends    map[wire.SendID]*call
+	sends map[wire.SendID]*call
+	// allotments remembers what resent requests may still spend.
+	allotments *budget.Memory
+	// services holds the caller's side of the services this node sends to.
+	services map[string]*serviceState
+	trees    treeSizes
 	nextID   AttemptID
 	nextSend uint64
 
@@ -70,7 +76,11 @@
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
-		state:    wire.NodeServing,
+
+		allotments: budget.NewMemory(maxAllotments),
+		services:   map[string]*serviceState{},
+
+		state: wire.NodeServing,
 	}
 }
 
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -4,21 +4,36 @@
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
 	"github.com/shallotspool/shallotspool/core/budget"
+	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
-// try makes one attempt at c on a target of its service.
+// try makes the first attempt at c on a target of its service.
 func (n *Node) try(c *call) {
-	peer := n.balancer.Pick(n.view.Service(c.route.Service), balancer.Options{
+	if !n.payFirst(c) {
+		n.refuse(c, ReasonBudget)
+		return
+	}
+	peer := n.pick(c)
+	if peer == nil {
+		n.refuse(c, ReasonNoTarget)
+		return
+	}
+	n.service(c.route.Service).ratio.First()
+	n.attemptOn(c, peer)
+}
+
+// pick chooses the target of the next attempt at c, nil if none takes it.
+func (n *Node) pick(c *call) *member.Peer {
+	return n.balancer.Pick(n.view.Service(c.route.Service), balancer.Options{
 		Exclude:    n.excluded(c),
 		Rank:       uint16(c.rank()),
 		DataCentre: n.cfg.DataCentre,
 		Now:        n.now,
 	})
-	if peer == nil {
-		n.refuse(c, ReasonNoTarget)
-		return
-	}
+}
+
+func (n *Node) attemptOn(c *call, peer *member.Peer) {
 	if peer.Target == n.cfg.Self.Target {
 		n.runHere(c)
 		return
@@ -39,15 +54,25 @@
 	n.nextSend++
 	a := n.newAttempt(c, target, stage)
 	a.send = wire.SendID{Node: n.cfg.Self, Sequence: n.nextSend}
-	a.loan = c.pool.LendAll()
+	a.loan = n.lend(c, stage)
+	c.launched = c.launched || stage == StageRun
 	n.balancer.Started(target)
 	n.emit(&SendCall{
 		Attempt: a.id, Target: target, Request: c.request,
 		Wait: c.deadline - n.now, Stage: stage, Class: c.class,
-		Tokens: a.loan, Depth: c.depth, Send: a.send,
+		Tokens: a.loan, Depth: c.depth, Send: a.send, Rerun: c.rerun,
 	})
 }
 
+// lend takes from c's pool what a send takes along. The owner of a key gets
+// everything: it makes the attempts.
+func (n *Node) lend(c *call, stage Stage) int {
+	if stage == StageOwn {
+		return c.pool.LendAll()
+	}
+	return c.pool.LendFor(n.treeSize(c.route))
+}
+
 // runHere asks the guard to run c on the own upstream.
 func (n *Node) runHere(c *call) {
 	a := n.newAttempt(c, n.cfg.Self.Target, StageRun)
--- a/harness/measure/run.go
+++ b/harness/measure/run.go
@@ -84,6 +84,7 @@
 	offered, answered := sum(s.OfferedAt, begin, end), sum(s.AnsweredAt, begin, end)
 	possible := min(float64(offered), d.capacity*window.Seconds())
 	r := Result{Spec: spec, Depth: 4, Offered: offered, DoubleRuns: s.DoubleRuns, Mixed: s.Mixed}
+	r.MaxAttempts, r.AttemptBudget = s.Attempts.Max, s.Attempts.MaxBudget
 	r.Goodput = min(1, float64(answered)/possible)
 	r.Recovery = recovery(s)
 	if s.Worked > 0 {
--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/harness/attempts"
 )
 
 // Load is a stream of requests from callers.
@@ -81,6 +82,7 @@
 	if h == nil {
 		return
 	}
+	w.Stats.Attempts.Entered(r.req.Key, h.Target, attempts.Budget(w.Doc, r.route))
 	incarnation := h.incarnation
 	w.After(callerDelay, func() {
 		if !h.alive {
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -1,6 +1,8 @@
 package sim
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -23,7 +25,10 @@
 	backlog     []engine.Event
 	nextCall    engine.CallID
 	waiting     map[engine.CallID]func(engine.Reply)
-	remote      map[engine.AttemptID]*Host
+	// remote holds the sends whose connections are open, runs the requests that
+	// other nodes sent here to be run.
+	remote map[engine.AttemptID]*Host
+	runs   map[*engine.Request]bool
 }
 
 func newHost(w *World, service, target, centre string) *Host {
@@ -38,6 +43,7 @@
 	h.alive, h.paused, h.backlog = true, false, nil
 	h.waiting = map[engine.CallID]func(engine.Reply){}
 	h.remote = map[engine.AttemptID]*Host{}
+	h.runs = map[*engine.Request]bool{}
 	cfg := engine.Config{
 		Self:    wire.NodeID{Target: h.Target, Incarnation: h.incarnation},
 		Service: h.service, DataCentre: h.centre,
@@ -59,6 +65,20 @@
 	h.Upstream.reset()
 	for _, other := range h.w.Hosts {
 		h.w.After(centreDelay, func() { other.linkTo(h, false) })
+		other.breakSends(h)
+	}
+}
+
+// breakSends fails the sends to a node that died.
+func (h *Host) breakSends(to *Host) {
+	incarnation := h.incarnation
+	for _, id := range slices.Sorted(maps.Keys(h.remote)) {
+		if h.remote[id] == to {
+			delete(h.remote, id)
+			h.w.After(centreDelay, func() {
+				h.stepAs(incarnation, &engine.AttemptFailed{Attempt: id, Cause: engine.FailureLost})
+			})
+		}
 	}
 }
 
@@ -113,8 +133,14 @@
 func (h *Host) carryOut(action engine.Action) {
 	switch a := action.(type) {
 	case *engine.Dispatch:
+		if !h.runs[a.Request] {
+			h.w.Stats.Attempts.Attempted(a.Request.Key)
+		}
 		h.Upstream.Dispatch(a)
 	case *engine.SendCall:
+		if a.Stage == engine.StageRun {
+			h.w.Stats.Attempts.Attempted(a.Request.Key)
+		}
 		h.send(a)
 	case *engine.ReplyCall:
 		h.reply(a)
@@ -144,9 +170,10 @@
 	fail := func(cause engine.FailureCause) func() {
 		return func() { h.stepAs(incarnation, &engine.AttemptFailed{Attempt: a.Attempt, Cause: cause}) }
 	}
+	request := *a.Request
 	ev := &engine.CallArrived{
-		Origin: engine.OriginPeer, Request: a.Request, Wait: a.Wait, Stage: a.Stage,
-		Class: a.Class, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send,
+		Origin: engine.OriginPeer, Request: &request, Wait: a.Wait, Stage: a.Stage,
+		Class: a.Class, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send, Rerun: a.Rerun,
 	}
 	h.w.deliver(h, to, func() {
 		if !to.alive {
@@ -154,10 +181,14 @@
 			return
 		}
 		target := to.incarnation
+		to.runs[&request] = a.Stage == engine.StageRun
+		h.remote[a.Attempt] = to
 		to.Call(ev, func(r engine.Reply) {
 			if to.incarnation != target {
 				return
 			}
+			delete(h.remote, a.Attempt)
+			delete(to.runs, &request)
 			h.w.deliver(to, h, func() {
 				h.stepAs(incarnation, &engine.AttemptAnswered{Attempt: a.Attempt, Reply: r})
 			}, fail(engine.FailureLost))
@@ -172,7 +203,10 @@
 	}
 }
 
-func (h *Host) cancel(a *engine.CancelAttempt) { h.Upstream.Cancel(a.Attempt) }
+func (h *Host) cancel(a *engine.CancelAttempt) {
+	delete(h.remote, a.Attempt)
+	h.Upstream.Cancel(a.Attempt)
+}
 
 func (h *Host) sendFrame(a *engine.SendFrame) {
 	to := h.w.byName[a.To.Target]
--- a/harness/sim/stats.go
+++ b/harness/sim/stats.go
@@ -6,6 +6,7 @@
 
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/harness/attempts"
 )
 
 // Bucket is the grain of the goodput curve.
@@ -24,6 +25,8 @@
 	// failed.
 	Worked time.Duration
 	Wasted time.Duration
+	// Attempts counts what was tried for each request.
+	Attempts attempts.Counter
 
 	runs    map[string]int
 	nextKey int
--- a/harness/sim/upstream.go
+++ b/harness/sim/upstream.go
@@ -20,11 +20,12 @@
 	wait    time.Duration
 	started time.Duration
 	calls   []string
+	open    int
 	done    bool
 }
 
 // Upstream is a fake service instance: it works for a while, calls what its
-// route names, one after the other, and answers.
+// route names, one after the other or all at once, and answers.
 type Upstream struct {
 	Shape Shape
 	// Slow multiplies its working time.
@@ -102,8 +103,19 @@
 		u.answer(j, engine.OutcomeAnswered, 200)
 		return
 	}
-	next := j.calls[0]
-	j.calls = j.calls[1:]
+	now := 1
+	if u.h.w.setup.Parallel {
+		now = len(j.calls)
+	}
+	next := j.calls[:now]
+	j.calls = j.calls[now:]
+	j.open = now
+	for _, name := range next {
+		u.call(j, name)
+	}
+}
+
+func (u *Upstream) call(j *job, next string) {
 	epoch := u.epoch
 	u.h.Call(&engine.CallArrived{
 		Origin: engine.OriginUpstream, Request: u.h.w.requestFor(next, j.request), Parent: j.attempt,
@@ -115,7 +127,9 @@
 			u.answer(j, engine.OutcomeUpstreamError, 502)
 			return
 		}
-		u.callNext(j)
+		if j.open--; j.open == 0 {
+			u.callNext(j)
+		}
 	})
 }
 
--- a/harness/sim/world.go
+++ b/harness/sim/world.go
@@ -55,6 +55,8 @@
 	DataCentres int
 	// Shape gives each service's upstreams, by service name.
 	Shape map[string]Shape
+	// Parallel lets upstreams make all their calls at once.
+	Parallel bool
 	// Configure may change a node's settings before it starts.
 	Configure func(*engine.Config)
 }
