Carry cancels and deadlines through the whole subtree

Cause: when a call ended, the calls its upstream had opened stayed open, and a node that worked on a send learnt nothing of a cancel. Each hop had the whole remaining time, so its answer came back late. Policies none and static carried deadlines and cancels, which plain proxies do not.

A spent budget tells no time to come back.

--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -65,7 +65,11 @@
 
 // endAttempt frees what a held; left is what came back of its tokens.
 func (n *Node) endAttempt(a *attempt, r balancer.Result, left int) {
+	if r == balancer.ResultOK {
+		n.service(a.call.route.Service).answered(n.now - a.started)
+	}
 	if a.local {
+		n.cancelChildren(a)
 		a.call.launched = true
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
@@ -117,7 +121,11 @@
 		n.end(c, Reply{Outcome: OutcomeUnknown, Reason: reason})
 		return
 	}
-	n.end(c, Reply{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryLater})
+	reply := Reply{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryLater}
+	if reason == ReasonBudget {
+		reply.RetryAfter = 0
+	}
+	n.end(c, reply)
 }
 
 // end answers c and forgets it.
@@ -143,42 +151,15 @@
 func (n *Node) forget(c *call) {
 	delete(n.calls, c.id)
 	n.deadlines.remove(c)
-	if c.origin == OriginPeer {
+	if n.sends[c.send] == c {
 		delete(n.sends, c.send)
 	}
 }
 
-// abandon stops the open attempt of c, if any.
-func (n *Node) abandon(c *call) {
-	a := c.current
-	if a == nil {
-		return
-	}
-	if a.waiting {
-		n.guard.Withdraw(uint64(a.id))
-		n.closeAttempt(a)
-		return
-	}
-	c.mayHaveRun = true
-	n.emit(&CancelAttempt{Attempt: a.id})
-	n.endAttempt(a, balancer.ResultCancelled, 0)
-}
-
-func (n *Node) callerGone(id CallID) {
-	c := n.calls[id]
-	if c == nil {
-		return
-	}
-	n.abandon(c)
-	n.refuse(c, ReasonCancelled)
-	n.drainQueue()
-}
-
 // expire ends the calls whose deadline has come.
 func (n *Node) expire() {
 	for c := n.deadlines.first(); c != nil && c.deadline <= n.now; c = n.deadlines.first() {
-		n.abandon(c)
-		n.refuse(c, ReasonDeadline)
+		n.giveUp(c, ReasonDeadline)
 	}
 }
 
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"time"
+
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
 	"github.com/shallotspool/shallotspool/core/budget"
@@ -59,11 +61,23 @@
 	n.balancer.Started(target)
 	n.emit(&SendCall{
 		Attempt: a.id, Target: target, Request: c.request,
-		Wait: c.deadline - n.now, Stage: stage, Class: c.class,
+		Wait: n.waitAfterHop(c), Stage: stage, Class: c.class,
 		Tokens: a.loan, Depth: c.depth, Send: a.send, Rerun: c.rerun,
 	})
 }
 
+// hopTime is what a hop to another node takes of the time that remains: the
+// answer has to be back before this node's own deadline.
+const hopTime = time.Millisecond
+
+// waitAfterHop is the time the next node has for c; 0 tells it nothing.
+func (n *Node) waitAfterHop(c *call) time.Duration {
+	if !n.cfg.Policy.Deadlines {
+		return 0
+	}
+	return max(c.deadline-n.now-hopTime, time.Nanosecond)
+}
+
 // lend takes from c's pool what a send takes along. The owner of a key gets
 // everything: it makes the attempts.
 func (n *Node) lend(c *call, stage Stage) int {
