--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -54,6 +54,8 @@
 	ReasonKeyExpired
 	// ReasonUpstreamCrashed means the upstream crashed while it ran the call.
 	ReasonUpstreamCrashed
+	// ReasonBudget means that the request's attempts are spent.
+	ReasonBudget
 )
 
 // Reply is what a call ends with, between nodes as well as towards callers.
@@ -97,6 +99,8 @@
 	Send    wire.SendID
 	// Heard is the latest stamp of the receiver, for CallArrived.Heard.
 	Heard wire.Stamp
+	// Rerun tells that an earlier attempt at the call may have run.
+	Rerun bool
 }
 
 // ReplyCall ends a call; each CallArrived gets exactly one.
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -86,6 +86,9 @@
 	Send   wire.SendID
 	// Heard is the stamp of this node that the sender last got.
 	Heard wire.Stamp
+	// Rerun is true when an earlier attempt at the call may have run, so that
+	// the calls it makes are repeats.
+	Rerun bool
 }
 
 // CallerGone tells that nobody waits for the call any more.
