--- /dev/null
+++ b/ctl/internal/command/diff.go
@@ -0,0 +1,47 @@
+package command
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/shallotspool/shallotspool/core/document"
+)
+
+func (a *app) diff() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "diff", ShortUsage: "shallotctl diff OLD NEW",
+		ShortHelp: "show what a change of the document means for callers",
+		LongHelp: `Prints one line for each value that differs: + is new, - is gone, ~ has changed.
+A NEW whose version is not higher than OLD's never comes into force; that is said
+last.`,
+		FlagSet: a.flags("diff"), Options: options(),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 2 {
+				return usagef("diff needs two documents")
+			}
+			return a.diffDocuments(args[0], args[1])
+		},
+	}
+}
+
+func (a *app) diffDocuments(oldFile, newFile string) error {
+	older, err := load(oldFile)
+	if err != nil {
+		return err
+	}
+	newer, err := load(newFile)
+	if err != nil {
+		return err
+	}
+	for _, c := range document.Diff(older, newer) {
+		if err := a.printf("%s\n", c); err != nil {
+			return err
+		}
+	}
+	if newer.Version <= older.Version {
+		return a.printf("version %d is not higher than %d: %s never comes into force\n",
+			newer.Version, older.Version, newFile)
+	}
+	return nil
+}
--- a/ctl/internal/command/root.go
+++ b/ctl/internal/command/root.go
@@ -54,11 +54,10 @@
 func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
 	a := &app{out: out, err: errOut}
 	root := a.root()
-	err := root.Parse(args)
-	if err == nil {
-		err = root.Run(ctx)
+	if err := root.Parse(args); err != nil {
+		return a.exitCode(errors.Mark(err, errUsage))
 	}
-	return a.exitCode(err)
+	return a.exitCode(root.Run(ctx))
 }
 
 func (a *app) root() *ffcli.Command {
