Add the Member frame and what heartbeats and digests promise

Cause: nodes without a link learnt of a member only from the lagging list, and nobody could tell a silent peer from one whose turn had not come. Change: Member passes a run of a node on; State says when the next one is due; Digest says how long a refusal is shown and how old the last platform read is. Errors of the codec wrap ErrMalformed so that errors.Is of any library finds it.

--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -57,7 +57,7 @@
 	}
 	text, err := encoding.Marshal(f)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "encode frame"), ErrMalformed)
+		return nil, errors.Wrapf(ErrMalformed, "encode frame: %v", err)
 	}
 	if len(text) > f.maxBytes() {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(text))
@@ -73,7 +73,7 @@
 	}
 	var f Frame
 	if err := decoding.Unmarshal(data, &f); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decode frame"), ErrMalformed)
+		return nil, errors.Wrapf(ErrMalformed, "decode frame: %v", err)
 	}
 	if err := f.validate(); err != nil {
 		return nil, err
--- a/core/wire/codec_test.go
+++ b/core/wire/codec_test.go
@@ -31,6 +31,7 @@
 		{Digest: &wire.Digest{Version: 12, Hash: 99, Refused: 13, Reason: "4:2: name: empty"}},
 		{Pull: &wire.Pull{Have: 11}},
 		{Document: &wire.Document{Version: 12, Text: []byte("version: 12")}},
+		{Member: &wire.Member{Node: node, Service: "stock", DataCentre: "dc1", PeerAddress: "10.0.0.1:7101", LinkAddress: "10.0.0.1:7102", State: wire.NodeServing}},
 		{Suspect: &wire.Suspect{Fingerprint: 5, Crashes: 2, Remaining: time.Minute}},
 	}
 }
@@ -100,6 +101,9 @@
 		"document no text":    raw(fields{8: fields{1: 1}}),
 		"document too long":   raw(fields{8: fields{1: 1, 2: make([]byte, wire.MaxTextBytes+1)}}),
 		"frame too long":      raw(fields{3: fields{1: send, 9: make([]byte, wire.MaxFrameBytes)}}),
+		"member no service":   raw(fields{10: fields{1: id, 3: "d", 6: 2}}),
+		"member address":      raw(fields{10: fields{1: id, 2: "s", 3: "d", 4: strings.Repeat("1", 200), 6: 2}}),
+		"member state":        raw(fields{10: fields{1: id, 2: "s", 3: "d"}}),
 		"negative duration":   raw(fields{9: fields{1: 1, 2: 1, 3: -1}}),
 		"duration overflow":   raw(fields{9: fields{1: 1, 2: 1, 3: uint64(1) << 63}}),
 		"duration too long":   raw(fields{9: fields{1: 1, 2: 1, 3: 2 * time.Hour}}),
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -54,6 +54,7 @@
 	Pull     *Pull     `cbor:"7,keyasint,omitempty"`
 	Document *Document `cbor:"8,keyasint,omitempty"`
 	Suspect  *Suspect  `cbor:"9,keyasint,omitempty"`
+	Member   *Member   `cbor:"10,keyasint,omitempty"`
 }
 
 // Hello opens a link.
@@ -71,6 +72,9 @@
 	Load     Load      `cbor:"3,keyasint"`
 	// Stamp is the sender's time now.
 	Stamp Stamp `cbor:"4,keyasint"`
+	// NextMS is when the sender's next State on this link is due, in
+	// milliseconds; 0 means that it makes no promise.
+	NextMS uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // Load is what a node says of its upstream; it also travels with each answer.
@@ -109,6 +113,12 @@
 	Refused uint64 `cbor:"3,keyasint,omitempty"`
 	// Reason is why, empty if none was refused.
 	Reason string `cbor:"4,keyasint,omitempty"`
+	// RefusedLeftMS is how long the refusal is still to be shown, in
+	// milliseconds; only readers of the platform renew it.
+	RefusedLeftMS uint32 `cbor:"5,keyasint,omitempty"`
+	// ReadAgeMS is how long ago a reader of the sender's data centre last read
+	// the platform, in milliseconds.
+	ReadAgeMS uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // Pull asks for the text of the document, if the receiver's is newer than Have.
@@ -122,6 +132,17 @@
 	Text    []byte `cbor:"2,keyasint"`
 }
 
+// Member passes on what is known of one run of a node, so that nodes without a
+// link to it learn of its coming and leaving while the platform's list lags.
+type Member struct {
+	Node        NodeID    `cbor:"1,keyasint"`
+	Service     string    `cbor:"2,keyasint"`
+	DataCentre  string    `cbor:"3,keyasint"`
+	PeerAddress string    `cbor:"4,keyasint"`
+	LinkAddress string    `cbor:"5,keyasint"`
+	State       NodeState `cbor:"6,keyasint"`
+}
+
 // Suspect tells that upstreams crashed while they ran requests with this
 // fingerprint.
 type Suspect struct {
--- a/core/wire/validate.go
+++ b/core/wire/validate.go
@@ -40,11 +40,12 @@
 	message message
 }
 
-func (f *Frame) messages() [9]held {
+func (f *Frame) messages() [10]held {
 	return [...]held{
 		{f.Hello != nil, f.Hello}, {f.State != nil, f.State}, {f.Cancel != nil, f.Cancel},
 		{f.Fence != nil, f.Fence}, {f.Fenced != nil, f.Fenced}, {f.Digest != nil, f.Digest},
 		{f.Pull != nil, f.Pull}, {f.Document != nil, f.Document}, {f.Suspect != nil, f.Suspect},
+		{f.Member != nil, f.Member},
 	}
 }
 
@@ -102,3 +103,20 @@
 func (s *Suspect) validate() error {
 	return inRange(s.Remaining >= 0 && s.Remaining <= MaxRemaining, "suspect.remaining")
 }
+
+func (m *Member) validate() error {
+	if err := m.Node.validate("member.node"); err != nil {
+		return err
+	}
+	for _, name := range [...]string{m.Service, m.DataCentre} {
+		if err := inRange(name != "" && len(name) <= MaxNameBytes, "member.service and data_centre"); err != nil {
+			return err
+		}
+	}
+	for _, address := range [...]string{m.PeerAddress, m.LinkAddress} {
+		if err := inRange(len(address) <= MaxNameBytes, "member addresses"); err != nil {
+			return err
+		}
+	}
+	return inRange(m.State >= NodeStarting && m.State <= NodeLeft, "member.state")
+}
