Run documents, members, links and a node's life by their own packages

Cause: every node polled the platform for list and document every two seconds, took any document with a higher number, linked to everybody and believed the list alone. Change: core/spread decides which document is in force: two readers a data centre by rendezvous hash, six substitutes by the age of the latest read, digests and pulls over the links, other nodes asked before the platform's word counts, refusals shown at all nodes, twins settled by the lower hash. core/member joins the list with what nodes say of themselves (runs, leaving, silence), doubts a list that lost half its lines, and chooses the links and the subset of a service. The engine drives both; a node's life runs by its chart: a leaving node tells all links at once, takes what was sent before others could know for one second, and stays two so that nothing is cut. Config.AskPeers has to be set by the daemon (spread.DefaultAsk). Conclusion: the platform is read by few, and nothing goes back.

--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -6,7 +6,6 @@
 	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/invariant"
-	"github.com/shallotspool/shallotspool/core/wire"
 )
 
 // retryLater is what a refused caller is told when nothing better is known.
@@ -45,7 +44,7 @@
 	if n.doc == nil {
 		return ReasonNoDocument
 	}
-	if n.state >= wire.NodeLeaving && c.origin != OriginUpstream {
+	if n.refusesNew(c.origin) {
 		return ReasonLeaving
 	}
 	if len(n.calls) >= n.cfg.MaxCalls {
--- a/core/engine/lifecycle.go
+++ b/core/engine/lifecycle.go
@@ -1,21 +1,108 @@
 package engine
 
 import (
+	"strconv"
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/chart"
+	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
-func (n *Node) stop() {
-	if n.state < wire.NodeLeaving {
-		n.state = wire.NodeLeaving
-		n.sendStates()
+const (
+	// leavingGrace is how long a leaving node still takes what others sent
+	// before they could know.
+	leavingGrace = time.Second
+	// leavingLinger is how long it stays at least, so that later sends are
+	// answered instead of cut.
+	leavingLinger = 2 * time.Second
+	// drainOverdue is how long a drain takes before operators are told.
+	drainOverdue = 30 * time.Second
+)
+
+// The events and actions of the chart of a node's life, in the order of
+// lifeChart.
+const (
+	lifeDocumentInForce chart.Event = iota
+	lifeStopRequested
+	lifeDrained
+	lifeDrainOverdue
+)
+
+const (
+	lifeAnnounce chart.Action = iota
+	lifeWatchDrain
+	lifeReportDrain
+	lifeStop
+)
+
+var lifeChart = chart.MustBuiltIn("node", chart.Names{
+	Events:  []string{"document_in_force", "stop_requested", "drained", "drain_overdue"},
+	Actions: []string{"announce", "watch_drain", "report_drain", "stop"},
+})
+
+// nodeStates gives what others are told in each state of the chart.
+var nodeStates = map[chart.State]wire.NodeState{
+	lifeChart.State("starting"): wire.NodeStarting,
+	lifeChart.State("serving"):  wire.NodeServing,
+	lifeChart.State("leaving"):  wire.NodeLeaving,
+	lifeChart.State("overdue"):  wire.NodeLeaving,
+	lifeChart.State("left"):     wire.NodeLeft,
+}
+
+// live takes one event of the node's life.
+func (n *Node) live(e chart.Event) {
+	actions := n.life.Fire(e)
+	n.state = nodeStates[n.life.State()]
+	n.view.SetSelf(n.state)
+	for _, a := range actions {
+		switch a {
+		case lifeAnnounce:
+			n.announce()
+		case lifeWatchDrain:
+			n.leavingSince = n.now
+		case lifeReportDrain:
+			n.reportDrain()
+		case lifeStop:
+			n.emit(&Stopped{})
+		}
+	}
+}
+
+// stop begins the graceful stop: others are told at once, no new work is taken,
+// and what is in flight completes.
+func (n *Node) stop() { n.live(lifeStopRequested) }
+
+// refusesNew tells whether a call that came in this way is refused because the
+// node is leaving. The own upstream may always call: what it works on has to
+// complete.
+func (n *Node) refusesNew(origin Origin) bool {
+	if n.state < wire.NodeLeaving || origin == OriginUpstream {
+		return false
 	}
-	n.checkStopped()
+	return n.state == wire.NodeLeft || n.now-n.leavingSince >= leavingGrace
 }
 
-func (n *Node) checkStopped() {
-	if n.state == wire.NodeLeaving && len(n.calls) == 0 {
-		n.state = wire.NodeLeft
-		n.sendStates()
-		n.emit(&Stopped{})
+// checkDrain ends the drain once nothing is in flight.
+func (n *Node) checkDrain() {
+	if n.state != wire.NodeLeaving {
+		return
 	}
+	since := n.now - n.leavingSince
+	if since >= leavingLinger && len(n.calls) == 0 {
+		n.checker.Check(len(n.attempts) == 0, invariant.Violation{
+			Name: invariant.InFlightIsKept, Detail: strconv.Itoa(len(n.attempts)) + " attempts open at the stop",
+		})
+		n.live(lifeDrained)
+		return
+	}
+	if since >= drainOverdue {
+		n.live(lifeDrainOverdue)
+	}
+}
+
+func (n *Node) reportDrain() {
+	n.emit(&Log{Level: LogWarn, Message: "drain does not end", Fields: []Field{
+		{"calls", strconv.Itoa(len(n.calls))}, {"seconds", strconv.Itoa(int((n.now - n.leavingSince) / time.Second))},
+	}})
 }
--- a/core/engine/links.go
+++ b/core/engine/links.go
@@ -1,40 +1,99 @@
 package engine
 
 import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
+// statesPerBeat bounds the heartbeats a node sends in one interval. With more
+// links than that each gets its turn, and is told when the next one is due.
+const statesPerBeat = 16
+
+// openLinks asks for the links that this node should have and has not.
+func (n *Node) openLinks() {
+	for _, p := range n.view.Links(n.now, n.callees) {
+		n.emit(&OpenLink{Target: p.Target})
+	}
+}
+
+// linkChanged takes the opening or closing of a link.
+func (n *Node) linkChanged(ev *LinkChanged) {
+	if p := n.view.LinkChanged(n.now, ev.Peer, ev.Up); p != nil {
+		n.welcome(p)
+	}
+}
+
+// welcome tells a newly linked node all it should know of this one.
+func (n *Node) welcome(p *member.Peer) {
+	n.sendState(p, heartbeatInterval)
+	n.emit(&SendFrame{To: p.ID(), Frame: wire.Frame{Member: n.describeSelf()}})
+	n.documents.Greet(p)
+}
+
+func (n *Node) describeSelf() *wire.Member {
+	return n.view.Describe(n.view.Peer(n.cfg.Self.Target))
+}
+
+// sendStates sends the heartbeats that are due.
 func (n *Node) sendStates() {
-	state := &wire.State{State: n.state, Load: n.Load()}
-	if n.doc != nil {
-		state.Document = uint64(n.doc.Version)
+	linked := n.view.Linked()
+	if len(linked) == 0 {
+		return
+	}
+	rounds := (len(linked) + statesPerBeat - 1) / statesPerBeat
+	next := time.Duration(rounds) * heartbeatInterval
+	for range min(statesPerBeat, len(linked)) {
+		n.beat = (n.beat + 1) % len(linked)
+		n.sendState(linked[n.beat], next)
 	}
+}
+
+// announce tells all linked nodes at once that this one's state changed.
+func (n *Node) announce() {
+	member := n.describeSelf()
 	for _, p := range n.view.Linked() {
-		to := wire.NodeID{Target: p.Target, Incarnation: p.Incarnation}
-		n.emit(&SendFrame{To: to, Frame: wire.Frame{State: state}})
+		n.sendState(p, heartbeatInterval)
+		n.emit(&SendFrame{To: p.ID(), Frame: wire.Frame{Member: member}})
+	}
+}
+
+// sendState sends one heartbeat and promises the next one.
+func (n *Node) sendState(p *member.Peer, next time.Duration) {
+	state := &wire.State{
+		State: n.state, Document: n.documents.Version(), Load: n.Load(),
+		NextMS: uint32(next / time.Millisecond),
 	}
+	n.emit(&SendFrame{To: p.ID(), Frame: wire.Frame{State: state}})
 }
 
 // frame takes a frame of another node; those of an earlier run are ignored.
 func (n *Node) frame(ev *FrameReceived) {
-	p := n.view.Peer(ev.From.Target)
-	if p == nil || ev.From.Incarnation < p.Incarnation {
+	f := &ev.Frame
+	if f.Member != nil && f.Member.Node == ev.From {
+		// A node that the list does not name yet introduces itself.
+		n.memberTold(f.Member)
+	}
+	p := n.view.Fresh(n.now, ev.From)
+	if p == nil {
 		return
 	}
-	p.Incarnation = ev.From.Incarnation
-	switch f := ev.Frame; {
+	switch {
 	case f.State != nil:
-		p.State, p.Load = f.State.State, f.State.Load
+		n.view.Heartbeat(p, f.State)
+		n.documents.Heard(n.now, p, f.State.Document)
+	case f.Digest != nil:
+		n.documents.Digest(n.now, p, f.Digest)
+	case f.Pull != nil:
+		n.documents.Pull(n.now, p, f.Pull.Have)
+	case f.Document != nil:
+		n.documents.Text(n.now, f.Document)
+	case f.Member != nil:
+		n.memberTold(f.Member)
 	case f.Cancel != nil:
 		if c := n.sends[f.Cancel.Send]; c != nil {
 			n.callerGone(c.id)
 		}
 	}
 }
-
-func (n *Node) linkChanged(ev *LinkChanged) {
-	if p := n.view.Peer(ev.Peer.Target); p != nil {
-		p.Linked = ev.Up
-		p.Incarnation = max(p.Incarnation, ev.Peer.Incarnation)
-	}
-}
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -5,15 +5,18 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
 	"github.com/shallotspool/shallotspool/core/budget"
+	"github.com/shallotspool/shallotspool/core/chart"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/owner"
+	"github.com/shallotspool/shallotspool/core/spread"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -29,6 +32,10 @@
 	Seed       uint64
 	Policy     Policy
 	Admission  admission.Config
+	// AskPeers is how long a node that remembers no document asks others before
+	// it takes the platform's word; 0 means that it asks nobody. A daemon uses
+	// spread.DefaultAsk.
+	AskPeers time.Duration
 	// MaxCalls is the number of calls the node holds at once.
 	MaxCalls int
 }
@@ -62,17 +69,31 @@
 	// refused counts refusals for Status.
 	refused map[refusal]uint64
 
-	state     wire.NodeState
+	documents *spread.Spread
+	// callees are the services that the own one calls, sorted.
+	callees []string
+	// life lives by the chart of nodes; state is what others are told of it.
+	life         chart.Machine
+	state        wire.NodeState
+	leavingSince time.Duration
+	// heartbeat, controlAt and listAt are when the next of each is due.
 	heartbeat time.Duration
-	readAt    time.Duration
+	controlAt time.Duration
+	listAt    time.Duration
+	listWait  time.Duration
+	// beat goes round the links with the heartbeats.
+	beat int
+	// news are members still to be told of.
+	news   []*wire.Member
+	random *rand.Rand
 }
 
 // New returns a node that starts at now.
 func New(cfg Config, now time.Duration) *Node {
-	return &Node{
+	n := &Node{
 		cfg:      cfg,
 		now:      now,
-		view:     member.NewView(),
+		view:     member.NewView(member.Config{Self: cfg.Self, Service: cfg.Service, DataCentre: cfg.DataCentre}),
 		balancer: balancer.New(cfg.Seed),
 		guard:    admission.New(cfg.Admission),
 		calls:    map[CallID]*call{},
@@ -83,8 +104,14 @@
 		allotments: budget.NewMemory(maxAllotments),
 		services:   map[string]*serviceState{},
 
-		state: wire.NodeServing,
+		life:   lifeChart.Start(),
+		state:  wire.NodeStarting,
+		random: rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
+	n.documents = spread.New(spread.Config{
+		Self: cfg.Self, DataCentre: cfg.DataCentre, Seed: cfg.Seed, Ask: cfg.AskPeers,
+	}, now, documentRuntime{n}, n.view, &n.checker)
+	return n
 }
 
 // Step takes one event that happened at now and returns what is to be done
--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/member"
@@ -30,16 +31,23 @@
 		Limit: n.guard.Limit(), InFlight: n.guard.InFlight(), Queued: n.guard.Queued(),
 		Level:   uint16(n.guard.Level()),
 		Refused: n.statusRefused(), Peers: n.statusPeers(),
-		Charts: []status.Chart{}, Suspects: []status.Suspect{},
+		Suspects:   []status.Suspect{},
 		Violations: n.statusViolations(), ViolationCount: n.checker.Count(),
 	}
 	s.PeerCount = len(n.view.All())
-	if n.doc != nil {
-		s.Document.Version = uint64(n.doc.Version)
+	s.Document = n.statusDocument()
+	s.Charts = []status.Chart{
+		{Name: "node", State: n.life.StateName()}, {Name: "document", State: n.documents.StateName()},
 	}
 	return s
 }
 
+func (n *Node) statusDocument() status.Document {
+	d := status.Document{Version: n.documents.Version(), Hash: strconv.FormatUint(n.documents.Hash(), 16)}
+	d.Refused, d.Reason = n.documents.Refused()
+	return d
+}
+
 func (n *Node) statusRefused() []status.Refused {
 	keys := make([]refusal, 0, len(n.refused))
 	for k := range n.refused {
@@ -78,6 +86,7 @@
 		Target: p.Target, Incarnation: p.Incarnation, Service: p.Service, DataCentre: p.DataCentre,
 		State: nodeStateName(p.State), Leaving: p.Leaving, Linked: p.Linked,
 		InFlight: int(p.Load.InFlight), Limit: int(p.Load.Limit),
+		Document: p.Document, Refused: p.Refused,
 	}
 }
 
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -1,11 +1,10 @@
 package engine
 
-import (
-	"time"
-)
+import "time"
 
-// readInterval is how often a node reads the platform.
-const readInterval = 2 * time.Second
+// controlInterval is how often the parts are run that need not be as exact as
+// the ticks: documents, members and links.
+const controlInterval = 100 * time.Millisecond
 
 // tick passes time to every part that waits for it.
 func (n *Node) tick() {
@@ -15,14 +14,22 @@
 	if n.keys != nil {
 		n.keys.Tick(n.now)
 	}
-	if n.now >= n.readAt {
-		n.readAt = n.now + readInterval
-		n.emit(&ReadPlatform{Resource: ResourceMembers})
-		n.emit(&ReadPlatform{Resource: ResourceDocument})
+	if n.now >= n.controlAt {
+		n.controlAt = n.now + controlInterval
+		n.control()
 	}
 	if n.now >= n.heartbeat {
 		n.heartbeat = n.now + heartbeatInterval
 		n.sendStates()
 	}
-	n.checkStopped()
+	n.checkDrain()
+}
+
+// control passes time to documents, members and links.
+func (n *Node) control() {
+	n.view.Tick(n.now)
+	n.documents.Tick(n.now)
+	n.readMembers()
+	n.openLinks()
+	n.passNews()
 }
--- a/core/spread/read.go
+++ b/core/spread/read.go
@@ -16,6 +16,9 @@
 	takeOverStep = 500 * time.Millisecond
 	// readInterval is how often a reader reads.
 	readInterval = 2 * time.Second
+	// restInterval is how often the other nodes read at most: only to find what
+	// their data centre's readers cannot reach.
+	restInterval = 30 * time.Second
 	// perNode stretches the reads of all other nodes with the fleet, so that
 	// together they stay at twenty reads a second whatever its size.
 	perNode = 50 * time.Millisecond
@@ -84,7 +87,7 @@
 		// not flood it.
 		return readInterval << min(s.reads.count, maxBackoff)
 	}
-	return ReadInterval(s.view.Size())
+	return max(restInterval, ReadInterval(s.view.Size()))
 }
 
 func (s *Spread) takesOver(rank int) bool {
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -90,10 +90,7 @@
 	Actions: []string{"put_in_force", "report_refused", "take_offered", "report_alone"},
 })
 
-var (
-	stateAsking = lifeChart.State("asking")
-	stateOpen   = lifeChart.State("open")
-)
+var stateAsking = lifeChart.State("asking")
 
 // New returns a Spread without a document, of a node that starts at now.
 func New(cfg Config, now time.Duration, rt Runtime, view *member.View, checker *invariant.Checker) *Spread {
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/spread"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -51,6 +52,7 @@
 		Policy:    engine.Full(),
 		Admission: admission.Config{Initial: 20, Min: 1, Max: 2000, MaxQueue: 2000},
 		MaxCalls:  20000,
+		AskPeers:  spread.DefaultAsk,
 	}
 	if h.w.setup.Configure != nil {
 		h.w.setup.Configure(&cfg)
