Learn the limit, rank the queue and refuse at the entry

Cause: the guard held a fixed limit, queued first come first served and published no level, so a surge ran every chain to its deepest layer and failed there.

Change: admission is split into limit, queue, level and rank. The limit is learnt from own time against a baseline that light runs give. The queue is in rank order and bounded in time. A rank is the class and a priority drawn once at the entry, which goes down the chain; each node publishes the highest rank its call trees still take, and entries refuse above it. In the harness the front layers work 10 ms and the deepest 50 ms, so that the smallest service is the one that runs out; answers count when they reach the caller; refusals are counted by class; work on answers that came too late counts as wasted. Without deadlines nothing is cancelled and no wait is carried on.

--- /dev/null
+++ b/core/admission/level.go
@@ -0,0 +1,124 @@
+package admission
+
+import "time"
+
+const (
+	// levelInterval is the time between two moves of the level.
+	levelInterval = 50 * time.Millisecond
+	// demandWeight is the weight of the newest interval in the demand.
+	demandWeight = 0.3
+	// queueTarget is the queue time that keeps the upstream busy through short
+	// lulls, and queueSettle the time within which the level corrects it.
+	queueTarget = 20 * time.Millisecond
+	queueSettle = 200 * time.Millisecond
+	// idleOpen is the factor by which an upstream with room is opened further.
+	idleOpen = 1.5
+	// levelFall and levelRise bound the share of its rate that a busy upstream
+	// is offered after one move.
+	levelFall = 0.6
+	levelRise = 1.2
+	// classStep is the part of a class that is opened at first.
+	classStep = Priorities / 8
+)
+
+// leveller finds the highest rank that the upstream still has room for: the one
+// up to which the calls offered per second are what it completes per second.
+// Offers above the level are not counted, so each class's demand is worked out
+// from the part of it that is let through.
+type leveller struct {
+	level Rank
+	// rate is the completions per second, smoothed.
+	rate float64
+	// demand is the calls per second of each class, were all let through.
+	demand [MaxClasses]float64
+
+	movedAt time.Duration
+	offers  [MaxClasses]int
+	done    int
+	// busy tells that the upstream had no room at some time since the last move.
+	busy bool
+}
+
+func newLeveller() leveller { return leveller{level: RankAll} }
+
+func (l *leveller) offered(r Rank) {
+	if r <= l.level {
+		l.offers[r.class()]++
+	}
+}
+
+// tick moves the level when it is time to.
+func (l *leveller) tick(now time.Duration, queued int) {
+	elapsed := now - l.movedAt
+	if elapsed < levelInterval {
+		return
+	}
+	l.movedAt = now
+	l.rate += demandWeight * (float64(l.done)/elapsed.Seconds() - l.rate)
+	offered := l.learnDemand(elapsed)
+	busy := l.busy || queued > 0
+	l.done, l.busy, l.offers = 0, false, [MaxClasses]int{}
+	if l.level == RankAll && float64(queued) <= l.rate*queueTarget.Seconds() {
+		return
+	}
+	l.move(l.wanted(busy, offered, queued))
+}
+
+// learnDemand returns the calls offered per second up to the level.
+func (l *leveller) learnDemand(elapsed time.Duration) float64 {
+	top, total := l.level.class(), 0.0
+	for class := 0; class <= top; class++ {
+		share := l.shareOf(class)
+		seen := float64(l.offers[class]) / elapsed.Seconds() / share
+		l.demand[class] += demandWeight * (seen - l.demand[class])
+		total += l.demand[class] * share
+	}
+	return total
+}
+
+// shareOf returns the part of a class that the level lets through.
+func (l *leveller) shareOf(class int) float64 {
+	if class < l.level.class() {
+		return 1
+	}
+	return float64(l.level.priority()+1) / Priorities
+}
+
+// wanted returns the calls per second that the upstream should be offered.
+func (l *leveller) wanted(busy bool, offered float64, queued int) float64 {
+	if !busy {
+		return max(offered, l.rate) * idleOpen
+	}
+	if l.rate == 0 {
+		return offered
+	}
+	wait := float64(queued) / l.rate
+	correction := 1 + (queueTarget.Seconds()-wait)/queueSettle.Seconds()
+	return l.rate * min(max(correction, levelFall), levelRise)
+}
+
+// move sets the level to where rate calls per second are offered.
+func (l *leveller) move(rate float64) {
+	top, room := l.level.class(), rate
+	for class := 0; class < MaxClasses; class++ {
+		if class > top {
+			l.level = RankOf(uint8(class), min(classStep, uint16(share(room, l.demand[class]))))
+			return
+		}
+		if room < l.demand[class] {
+			l.level = RankOf(uint8(class), uint16(share(room, l.demand[class])))
+			return
+		}
+		room -= l.demand[class]
+	}
+	l.level = RankAll
+}
+
+// share returns the priority up to which a class of the given demand offers
+// rate calls per second.
+func share(rate, demand float64) float64 {
+	if demand <= rate {
+		return Priorities - 1
+	}
+	return max(0, rate/demand*Priorities-1)
+}
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -28,6 +28,7 @@
 	Services []*Service
 
 	services map[string]*Service
+	routes   map[string]*Route
 }
 
 // AnswerLimits bounds what a node keeps of finished calls.
@@ -72,10 +73,12 @@
 // needs it before its first use.
 func (d *Document) Index() {
 	d.services = make(map[string]*Service, len(d.Services))
+	d.routes = map[string]*Route{}
 	for _, s := range d.Services {
 		d.services[s.Name] = s
 		for _, r := range s.Routes {
 			r.Service = s.Name
+			d.routes[s.Name+"."+r.Name] = r
 			r.segments = split(r.Path)
 		}
 	}
@@ -84,6 +87,9 @@
 // Service returns the named service, or nil.
 func (d *Document) Service(name string) *Service { return d.services[name] }
 
+// Route returns the route of the given name, "service.route", or nil.
+func (d *Document) Route(name string) *Route { return d.routes[name] }
+
 // ClassName returns the name of c, or "unknown" when the document has no such
 // class.
 func (d *Document) ClassName(c Class) string {
--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -82,9 +82,11 @@
 	Wait    time.Duration
 	Stage   Stage
 	Class   document.Class
-	Tokens  int
-	Depth   int
-	Send    wire.SendID
+	// Priority is the call's priority within its class.
+	Priority uint16
+	Tokens   int
+	Depth    int
+	Send     wire.SendID
 }
 
 // ReplyCall ends a call; each CallArrived gets exactly one.
--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -55,6 +55,9 @@
 	if c.deadline <= n.now {
 		return ReasonDeadline
 	}
+	if n.refusedAtEntry(c) {
+		return ReasonOverload
+	}
 	return ReasonNone
 }
 
@@ -75,18 +78,19 @@
 func (n *Node) inherit(c *call, ev *CallArrived) {
 	c.class = c.route.Class
 	wait := c.route.Wait
-	if ev.Wait > 0 {
+	if ev.Wait > 0 && (n.cfg.Policy.Deadlines || ev.Origin == OriginCaller) {
 		wait = min(wait, ev.Wait)
 	}
 	c.deadline = n.now + wait
 	parent := n.attempts[ev.Parent]
 	switch {
 	case ev.Origin == OriginPeer:
-		c.class, c.depth = ev.Class, ev.Depth
+		c.class, c.priority, c.depth = ev.Class, ev.Priority, ev.Depth
 		c.pool = budget.NewPool(ev.Tokens)
 	case ev.Origin == OriginUpstream && parent != nil && parent.local:
 		n.adopt(c, parent)
 	default:
+		c.priority = n.drawPriority()
 		c.pool = budget.NewPool(c.route.Retries)
 	}
 }
@@ -95,8 +99,11 @@
 func (n *Node) adopt(c *call, parent *attempt) {
 	c.parent = parent
 	c.class = parent.call.class
+	c.priority = parent.call.priority
 	c.depth = parent.call.depth + 1
-	c.deadline = min(c.deadline, parent.call.deadline)
+	if n.cfg.Policy.Deadlines {
+		c.deadline = min(c.deadline, parent.call.deadline)
+	}
 	c.loan = parent.pool.LendShare()
 	c.pool = budget.NewPool(c.loan)
 	parent.childStarted(n.now)
@@ -110,7 +117,7 @@
 		reply = Reply{Outcome: OutcomeBadRequest, Reason: reason}
 	}
 	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
+	reply.Load = n.loadFor(c.route)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
 }
 
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/wire"
@@ -12,12 +11,14 @@
 // call is one request that this node has to answer, from its arrival to its
 // reply.
 type call struct {
-	id       CallID
-	origin   Origin
-	stage    Stage
-	request  *Request
-	route    *document.Route
-	class    document.Class
+	id      CallID
+	origin  Origin
+	stage   Stage
+	request *Request
+	route   *document.Route
+	class   document.Class
+	// priority is the priority within the class, drawn at the entry.
+	priority uint16
 	depth    int
 	arrived  time.Duration
 	deadline time.Duration
@@ -39,11 +40,6 @@
 	heapIndex  int
 }
 
-// rank is the admission rank of c.
-func (c *call) rank() admission.Rank {
-	return admission.RankOf(uint8(c.class), c.depth)
-}
-
 // attempt is one try to have a call run: by the own upstream, or by a send to
 // another node.
 type attempt struct {
--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -31,7 +31,7 @@
 }
 
 func (n *Node) sendStates() {
-	state := &wire.State{State: n.state, Load: n.Load()}
+	state := &wire.State{State: n.state, Load: n.load(n.guard.Level())}
 	if n.doc != nil {
 		state.Document = uint64(n.doc.Version)
 	}
@@ -74,6 +74,7 @@
 		return
 	}
 	n.doc = doc
+	n.levels.forgetRoutes()
 	if n.keys == nil {
 		n.keys = owner.NewTable(owner.Config{
 			Window: doc.ResendWindow, MaxKeys: doc.Answers.Keys, MaxBytes: doc.Answers.Bytes,
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -79,11 +79,13 @@
 	// not say.
 	Parent AttemptID
 
-	Stage  Stage
-	Class  document.Class
-	Tokens int
-	Depth  int
-	Send   wire.SendID
+	Stage Stage
+	Class document.Class
+	// Priority is the call's priority within its class, drawn at the entry.
+	Priority uint16
+	Tokens   int
+	Depth    int
+	Send     wire.SendID
 }
 
 // CallerGone tells that nobody waits for the call any more.
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -15,6 +15,7 @@
 	}
 	c := a.call
 	reply := ev.Reply
+	n.learnLevel(a, reply.Load)
 	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
 	switch reply.Outcome {
 	case OutcomeNotRun:
@@ -67,7 +68,7 @@
 	if a.local {
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
-			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
+			ID: uint64(a.id), Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
 		})
 		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
 	} else {
@@ -133,7 +134,7 @@
 	n.settleOwner(c, reply)
 	n.forget(c)
 	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
+	reply.Load = n.loadFor(c.route)
 	n.settleParent(c)
 	n.measureEnd(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
@@ -166,7 +167,9 @@
 		return
 	}
 	c.mayHaveRun = true
-	n.emit(&CancelAttempt{Attempt: a.id})
+	if n.cfg.Policy.Deadlines {
+		n.emit(&CancelAttempt{Attempt: a.id})
+	}
 	n.endAttempt(a, balancer.ResultCancelled, 0)
 }
 
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -37,12 +38,15 @@
 	cfg Config
 	now time.Duration
 	out []Action
+	// random draws priorities.
+	random *rand.Rand
 
 	doc      *document.Document
 	view     *member.View
 	balancer *balancer.Balancer
 	guard    *admission.Controller
 	keys     *owner.Table
+	levels   levels
 	checker  invariant.Checker
 
 	calls    map[CallID]*call
@@ -66,7 +70,9 @@
 		now:      now,
 		view:     member.NewView(),
 		balancer: balancer.New(cfg.Seed),
-		guard:    admission.New(cfg.Admission),
+		random:   rand.New(rand.NewPCG(cfg.Seed, 2)),
+		guard:    admission.New(cfg.guardConfig()),
+		levels:   newLevels(),
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
@@ -83,6 +89,7 @@
 	switch ev := ev.(type) {
 	case *CallArrived:
 		n.arrive(ev)
+		n.drainQueue()
 	case *CallerGone:
 		n.callerGone(ev.ID)
 	case *AttemptAnswered:
@@ -110,12 +117,3 @@
 
 // Violations returns the broken invariants this node has seen.
 func (n *Node) Violations() *invariant.Checker { return &n.checker }
-
-// Load returns what the node tells others of its upstream.
-func (n *Node) Load() wire.Load {
-	return wire.Load{
-		InFlight: uint32(n.guard.InFlight() + n.guard.Queued()),
-		Limit:    uint32(n.guard.Limit()),
-		Level:    uint16(n.guard.Level()),
-	}
-}
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -1,9 +1,7 @@
 package engine
 
 import (
-	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
-	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -11,7 +9,7 @@
 func (n *Node) try(c *call) {
 	peer := n.balancer.Pick(n.view.Service(c.route.Service), balancer.Options{
 		Exclude:    n.excluded(c),
-		Rank:       uint16(c.rank()),
+		Rank:       uint16(n.rankOf(c)),
 		DataCentre: n.cfg.DataCentre,
 		Now:        n.now,
 	})
@@ -43,33 +41,11 @@
 	n.balancer.Started(target)
 	n.emit(&SendCall{
 		Attempt: a.id, Target: target, Request: c.request,
-		Wait: c.deadline - n.now, Stage: stage, Class: c.class,
+		Wait: c.deadline - n.now, Stage: stage, Class: c.class, Priority: c.priority,
 		Tokens: a.loan, Depth: c.depth, Send: a.send,
 	})
 }
 
-// runHere asks the guard to run c on the own upstream.
-func (n *Node) runHere(c *call) {
-	a := n.newAttempt(c, n.cfg.Self.Target, StageRun)
-	a.local = true
-	switch n.guard.Offer(n.now, n.itemOf(a)) {
-	case admission.Run:
-		n.dispatch(a)
-	case admission.Wait:
-		a.waiting = true
-	default:
-		n.closeAttempt(a)
-		n.afterRefusal(c, ReasonOverload)
-	}
-}
-
-func (n *Node) itemOf(a *attempt) admission.Item {
-	return admission.Item{
-		ID: uint64(a.id), Rank: a.call.rank(),
-		Arrived: a.call.arrived, Deadline: a.call.deadline,
-	}
-}
-
 func (n *Node) newAttempt(c *call, target string, stage Stage) *attempt {
 	n.nextID++
 	a := &attempt{id: n.nextID, call: c, target: target, stage: stage, started: n.now}
@@ -86,31 +62,3 @@
 		a.call.current = nil
 	}
 }
-
-// dispatch hands a to the own upstream.
-func (n *Node) dispatch(a *attempt) {
-	c := a.call
-	a.waiting = false
-	a.started = n.now
-	a.pool = budget.NewPool(c.pool.LendAll())
-	a.loan = a.pool.Free()
-	n.emit(&Measurement{Metric: MetricQueueTime, Class: c.class, Value: n.now - c.arrived})
-	n.emit(&Dispatch{Attempt: a.id, Request: c.request, Wait: c.deadline - n.now, Class: c.class})
-}
-
-// drainQueue runs and refuses what the guard says of the waiting attempts.
-func (n *Node) drainQueue() {
-	for {
-		item, decision, ok := n.guard.Next(n.now)
-		if !ok {
-			return
-		}
-		a := n.attempts[AttemptID(item.ID)]
-		if decision == admission.Run {
-			n.dispatch(a)
-			continue
-		}
-		n.closeAttempt(a)
-		n.afterRefusal(a.call, ReasonDeadline)
-	}
-}
--- a/harness/measure/case.go
+++ b/harness/measure/case.go
@@ -53,13 +53,14 @@
 	trigger func(w *sim.World, d deployment, demand float64)
 }
 
-// The times of every run. Nodes are older than the resend window when pressure
-// begins, as they are on an ordinary day.
+// The times of every run. Nodes are older than the resend window when the first
+// requests come, as they are on an ordinary day.
 const (
-	warm  = 35 * time.Second
-	begin = warm + 2*time.Second
-	end   = begin + 4*time.Second
-	tail  = end + 8*time.Second
+	resendWindow = 5 * time.Second
+	warm         = resendWindow + time.Second
+	begin        = warm + 2*time.Second
+	end          = begin + 4*time.Second
+	tail         = end + 6*time.Second
 )
 
 // policyOf returns the named policy.
--- a/harness/measure/deployment.go
+++ b/harness/measure/deployment.go
@@ -21,24 +21,29 @@
 	important float64
 }
 
-// workTime is the mean time an upstream works on a request itself.
-const workTime = 50 * time.Millisecond
+// The mean times an upstream works on a request itself. All chains end in the
+// smallest service, and a layer holds its slot while it waits for the next; with
+// these times the smallest service is the one that runs out first.
+const (
+	frontTime = 10 * time.Millisecond
+	deepTime  = 50 * time.Millisecond
+)
 
 var deployments = map[string]deployment{
 	"comics": {
 		name: "comics", document: "comics.yaml", centres: 3, reads: "pullreg.lists", writes: "reservo.reserve",
 		shape: map[string]sim.Shape{
-			"pullreg": {Slots: 190, Time: workTime}, "arrivo": {Slots: 190, Time: workTime},
-			"reservo": {Slots: 190, Time: workTime}, "shopxfer": {Slots: 25, Time: workTime},
+			"pullreg": {Slots: 190, Time: frontTime}, "arrivo": {Slots: 190, Time: frontTime},
+			"reservo": {Slots: 190, Time: frontTime}, "shopxfer": {Slots: 25, Time: deepTime},
 		},
-		capacity: 3 * 25 / workTime.Seconds(), important: 0.05,
+		capacity: 3 * 25 / deepTime.Seconds(), important: 0.05,
 	},
 	"charter": {
 		name: "charter", document: "charter.yaml", centres: 4, reads: "calendar.trips", writes: "bookings.book",
 		shape: map[string]sim.Shape{
-			"calendar": {Slots: 55, Time: workTime}, "conditions": {Slots: 55, Time: workTime},
-			"bookings": {Slots: 55, Time: workTime}, "crewing": {Slots: 16, Time: workTime},
+			"calendar": {Slots: 55, Time: frontTime}, "conditions": {Slots: 55, Time: frontTime},
+			"bookings": {Slots: 55, Time: frontTime}, "crewing": {Slots: 16, Time: deepTime},
 		},
-		capacity: 4 * 16 / workTime.Seconds(), important: 0.05,
+		capacity: 4 * 16 / deepTime.Seconds(), important: 0.05,
 	},
 }
--- a/harness/measure/run.go
+++ b/harness/measure/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/engine"
@@ -47,7 +48,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	text, err := os.ReadFile(filepath.Join(examples, d.document))
+	text, err := documentText(filepath.Join(examples, d.document))
 	if err != nil {
 		return Result{}, err
 	}
@@ -64,6 +65,18 @@
 	return resultOf(w, d, spec), nil
 }
 
+var resendLine = regexp.MustCompile(`(?m)^resend_window:.*$`)
+
+// documentText reads a document and shortens its resend window, so that the
+// runs need not wait for long until nodes are older than it.
+func documentText(path string) ([]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return resendLine.ReplaceAll(text, []byte("resend_window: "+resendWindow.String())), nil
+}
+
 // staticLimit is the fixed limit of policy static, in calls.
 const staticLimit = 100
 
@@ -81,17 +94,41 @@
 func resultOf(w *sim.World, d deployment, spec Spec) Result {
 	s := &w.Stats
 	window := end - begin
-	offered, answered := sum(s.OfferedAt, begin, end), sum(s.AnsweredAt, begin, end)
+	offered, answered := sum(s.OfferedAt, begin, end), sum(s.ReachedAt, begin, end)
 	possible := min(float64(offered), d.capacity*window.Seconds())
 	r := Result{Spec: spec, Depth: 4, Offered: offered, DoubleRuns: s.DoubleRuns, Mixed: s.Mixed}
 	r.Goodput = min(1, float64(answered)/possible)
 	r.Recovery = recovery(s)
+	r.ImportantRefuse, r.OtherRefuse = refusedRatios(w, d)
 	if s.Worked > 0 {
-		r.Wasted = s.Wasted.Seconds() / s.Worked.Seconds()
+		r.Wasted = 1 - s.Useful.Seconds()/s.Worked.Seconds()
 	}
 	return r
 }
 
+// refusedRatios returns the shares of the requests made in the pressure window
+// that got no whole answer in time: of the class of the writes, and of all others.
+func refusedRatios(w *sim.World, d deployment) (important, other float64) {
+	top := w.Route(d.writes).Class
+	var offered, refused [2]int
+	for class, at := range w.Stats.OfferedBy {
+		i := 1
+		if class <= top {
+			i = 0
+		}
+		offered[i] += sum(at, begin, end)
+		refused[i] += sum(w.Stats.RefusedBy[class], begin, end)
+	}
+	return ratio(refused[0], offered[0]), ratio(refused[1], offered[1])
+}
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
 func sum(buckets []int, from, to time.Duration) int {
 	total := 0
 	for i := int(from / sim.Bucket); i < int(to/sim.Bucket) && i < len(buckets); i++ {
--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -33,7 +33,7 @@
 
 // Offer starts a stream of requests.
 func (w *World) Offer(l Load) {
-	route := w.route(l.Route)
+	route := w.Route(l.Route)
 	var next func()
 	next = func() {
 		if w.now >= l.To {
@@ -45,12 +45,10 @@
 	w.After(l.From-w.now, next)
 }
 
-func (w *World) route(name string) *document.Route {
-	service, route, _ := strings.Cut(name, ".")
-	for _, r := range w.Doc.Service(service).Routes {
-		if r.Name == route {
-			return r
-		}
+// Route returns the route of the given name, "service.route".
+func (w *World) Route(name string) *document.Route {
+	if r := w.Doc.Route(name); r != nil {
+		return r
 	}
 	panic("no route " + name)
 }
@@ -72,7 +70,7 @@
 
 // requestFor is the call an upstream makes while it works on parent.
 func (w *World) requestFor(name string, parent *engine.Request) *engine.Request {
-	return newRequest(w.route(name), parent.Key+"/"+name)
+	return newRequest(w.Route(name), parent.Key+"/"+name)
 }
 
 func (w *World) send(r *request) {
@@ -112,7 +110,7 @@
 func (w *World) settle(r *request, reply engine.Reply) {
 	inTime := w.now-r.sent <= r.route.Wait+2*callerDelay
 	if reply.Outcome == engine.OutcomeAnswered && inTime {
-		w.Stats.answered(r, string(reply.Answer.Body) != r.req.Key)
+		w.Stats.answered(w.now, r, string(reply.Answer.Body) != r.req.Key)
 		return
 	}
 	if r.sends <= r.load.Resends && w.now-r.sent < r.route.Wait {
@@ -123,5 +121,5 @@
 		w.After(after, func() { w.send(r) })
 		return
 	}
-	w.Stats.refused(r, reply)
+	w.Stats.refused(r)
 }
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -146,7 +146,7 @@
 	}
 	ev := &engine.CallArrived{
 		Origin: engine.OriginPeer, Request: a.Request, Wait: a.Wait, Stage: a.Stage,
-		Class: a.Class, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send,
+		Class: a.Class, Priority: a.Priority, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send,
 	}
 	h.w.deliver(h, to, func() {
 		if !to.alive {
--- a/harness/sim/stats.go
+++ b/harness/sim/stats.go
@@ -14,25 +14,31 @@
 // Stats is what callers and upstreams saw.
 type Stats struct {
 	Steps      uint64
-	Offered    map[document.Class]int
-	Refused    map[document.Class]int
 	OfferedAt  []int
 	AnsweredAt []int
+	// ReachedAt counts answers under the time they reached their caller; the
+	// others count under the time the request was made.
+	ReachedAt  []int
+	OfferedBy  map[document.Class][]int
+	RefusedBy  map[document.Class][]int
 	Mixed      int
 	DoubleRuns int
-	// Worked and Wasted are upstream time, on all requests and on those that
-	// failed.
+	// Worked is upstream time on all requests, Useful that on whole answers for
+	// requests whose callers got theirs in time.
 	Worked time.Duration
-	Wasted time.Duration
+	Useful time.Duration
 
-	runs    map[string]int
+	runs map[string]int
+	// workOn is the upstream time on whole answers for requests yet open.
+	workOn  map[string]time.Duration
 	nextKey int
 }
 
 func (s *Stats) init() {
-	s.Offered = map[document.Class]int{}
-	s.Refused = map[document.Class]int{}
+	s.OfferedBy = map[document.Class][]int{}
+	s.RefusedBy = map[document.Class][]int{}
 	s.runs = map[string]int{}
+	s.workOn = map[string]time.Duration{}
 }
 
 func count(buckets []int, at time.Duration) []int {
@@ -45,19 +51,23 @@
 }
 
 func (s *Stats) offered(now time.Duration, route *document.Route) {
-	s.Offered[route.Class]++
+	s.OfferedBy[route.Class] = count(s.OfferedBy[route.Class], now)
 	s.OfferedAt = count(s.OfferedAt, now)
 }
 
-// answered counts under the time the request was made.
-func (s *Stats) answered(r *request, mixed bool) {
+func (s *Stats) answered(now time.Duration, r *request, mixed bool) {
 	s.AnsweredAt = count(s.AnsweredAt, r.sent)
+	s.ReachedAt = count(s.ReachedAt, now)
+	s.Useful += s.workOn[r.req.Key]
+	delete(s.workOn, r.req.Key)
 	if mixed {
 		s.Mixed++
 	}
 }
 
-func (s *Stats) refused(r *request, reply engine.Reply) { s.Refused[r.route.Class]++ }
+func (s *Stats) refused(r *request) {
+	s.RefusedBy[r.route.Class] = count(s.RefusedBy[r.route.Class], r.sent)
+}
 
 // ran counts the runs of requests that are not idempotent: all but GET.
 func (s *Stats) ran(r *engine.Request) {
@@ -70,9 +80,12 @@
 	}
 }
 
-func (s *Stats) worked(d time.Duration, ok bool) {
+// worked takes in upstream time on a request; keys below an entry's begin with
+// the entry's own.
+func (s *Stats) worked(key string, d time.Duration, ok bool) {
 	s.Worked += d
-	if !ok {
-		s.Wasted += d
+	if ok {
+		entry, _, _ := strings.Cut(key, "/")
+		s.workOn[entry] += d
 	}
 }
--- a/harness/sim/upstream.go
+++ b/harness/sim/upstream.go
@@ -136,6 +136,6 @@
 		return
 	}
 	u.busy--
-	u.h.w.Stats.worked(u.h.w.now-j.started, ok)
+	u.h.w.Stats.worked(j.request.Key, u.h.w.now-j.started, ok)
 	u.startNext()
 }
