--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -61,6 +61,9 @@
 	if c.deadline <= n.now {
 		return ReasonDeadline
 	}
+	if n.refusedAtEntry(c) {
+		return ReasonOverload
+	}
 	return ReasonNone
 }
 
@@ -83,20 +86,21 @@
 func (n *Node) inherit(c *call, ev *CallArrived) bool {
 	c.class = c.route.Class
 	wait := c.route.Wait
-	if ev.Wait > 0 && n.cfg.Policy.Deadlines {
+	if ev.Wait > 0 && (n.cfg.Policy.Deadlines || ev.Origin == OriginCaller) {
 		wait = min(wait, ev.Wait)
 	}
 	c.deadline = n.now + wait
 	parent := n.attempts[ev.Parent]
 	switch {
 	case ev.Origin == OriginPeer:
-		c.class, c.depth, c.rerun = ev.Class, ev.Depth, ev.Rerun
+		c.class, c.priority, c.depth, c.rerun = ev.Class, ev.Priority, ev.Depth, ev.Rerun
 		n.recall(c, ev.Tokens)
 	case ev.Origin == OriginUpstream && parent != nil && parent.local:
 		n.adopt(c, parent)
 	case ev.Origin == OriginUpstream && ev.Parent != 0 && n.cfg.Policy.Budget:
 		return false
 	default:
+		c.priority = n.drawPriority()
 		c.pool = budget.NewPool(c.route.Retries)
 		n.recall(c, c.route.Retries)
 	}
@@ -123,6 +127,7 @@
 func (n *Node) adopt(c *call, parent *attempt) {
 	c.parent = parent
 	c.class = parent.call.class
+	c.priority = parent.call.priority
 	c.depth = parent.call.depth + 1
 	if n.cfg.Policy.Deadlines {
 		c.deadline = min(c.deadline, parent.call.deadline)
@@ -142,7 +147,7 @@
 		reply = Reply{Outcome: OutcomeBadRequest, Reason: reason}
 	}
 	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
+	reply.Load = n.loadFor(c.route)
 	n.countRefusal(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
 }
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -16,6 +16,7 @@
 	}
 	c := a.call
 	reply := ev.Reply
+	n.learnLevel(a, reply.Load)
 	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
 	switch reply.Outcome {
 	case OutcomeNotRun:
@@ -73,7 +74,7 @@
 		a.call.launched = true
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
-			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
+			ID: uint64(a.id), Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
 		})
 		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
 	} else {
@@ -135,7 +136,7 @@
 	n.checkPool(&c.pool, c)
 	n.settleAllotment(c, reply.Outcome)
 	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
+	reply.Load = n.loadFor(c.route)
 	n.settleParent(c)
 	n.measureEnd(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
--- a/core/engine/links.go
+++ b/core/engine/links.go
@@ -5,7 +5,7 @@
 )
 
 func (n *Node) sendStates() {
-	state := &wire.State{State: n.state, Load: n.Load()}
+	state := &wire.State{State: n.state, Load: n.load(n.guard.Level())}
 	if n.doc != nil {
 		state.Document = uint64(n.doc.Version)
 	}
