Choose targets by load, health and data centre

Cause: a choice knew only this node's own attempts and the last heartbeat; a dead target got work until the member list said so, a cold one its full share at once, and every list was walked whole.

Targets that publish a level below a call's rank are passed over, so a call that no target takes ends here.

--- a/core/engine/cancel.go
+++ b/core/engine/cancel.go
@@ -16,12 +16,16 @@
 
 // giveUp ends c and everything that was begun for it.
 func (n *Node) giveUp(c *call, reason Reason) {
-	n.abandon(c)
+	result := balancer.ResultCancelled
+	if reason == ReasonDeadline {
+		result = balancer.ResultTimeout
+	}
+	n.abandon(c, result)
 	n.refuse(c, reason)
 }
 
 // abandon stops the open attempt of c, if any.
-func (n *Node) abandon(c *call) {
+func (n *Node) abandon(c *call, r balancer.Result) {
 	a := c.current
 	if a == nil {
 		return
@@ -35,7 +39,7 @@
 	if n.cfg.Policy.Deadlines {
 		n.cancel(a)
 	}
-	n.endAttempt(a, balancer.ResultCancelled, 0)
+	n.endAttempt(a, r, 0)
 }
 
 // cancel tells whoever works on a that nobody waits for it any more.
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -16,7 +16,8 @@
 	}
 	c := a.call
 	reply := ev.Reply
-	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
+	n.hear(a, reply)
+	n.endAttempt(a, resultOf(reply), reply.Tokens)
 	switch reply.Outcome {
 	case OutcomeNotRun:
 		n.afterRefusal(c, reply.Reason)
@@ -31,15 +32,32 @@
 	n.drainQueue()
 }
 
-func resultOf(o Outcome) balancer.Result {
-	switch o {
+// hear takes in the load that travelled with an answer.
+func (n *Node) hear(a *attempt, reply Reply) {
+	if a.local || reply.Load.Limit == 0 {
+		return
+	}
+	if p := n.view.Peer(a.target); p != nil {
+		p.Load = reply.Load
+	}
+}
+
+// resultOf is what a reply tells of the target it came from. A target that has
+// no document, or cannot reach its own upstream, does not work.
+func resultOf(r Reply) balancer.Result {
+	switch r.Outcome {
 	case OutcomeAnswered, OutcomeUpstreamError, OutcomeBadRequest:
 		return balancer.ResultOK
 	case OutcomeNotRun:
+		if r.Reason == ReasonNoDocument || r.Reason == ReasonNoTarget {
+			return balancer.ResultFailed
+		}
 		return balancer.ResultRefused
-	default:
+	}
+	if r.Reason == ReasonAttemptLost {
 		return balancer.ResultFailed
 	}
+	return balancer.ResultCancelled
 }
 
 // failed takes the end of an attempt that got no whole answer.
@@ -77,7 +95,7 @@
 		})
 		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
 	} else {
-		n.balancer.Finished(n.now, a.target, r)
+		n.balancer.Finished(n.now, a.target, a.started, r)
 	}
 	n.checker.Check(left <= a.loan, invariant.Violation{
 		Name: invariant.AttemptBudget, Call: uint64(a.call.id), Detail: "more tokens came back than went out",
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -68,10 +68,13 @@
 // New returns a node that starts at now.
 func New(cfg Config, now time.Duration) *Node {
 	return &Node{
-		cfg:      cfg,
-		now:      now,
-		view:     member.NewView(),
-		balancer: balancer.New(cfg.Seed),
+		cfg:  cfg,
+		now:  now,
+		view: member.NewView(),
+		balancer: balancer.New(balancer.Config{
+			Seed: cfg.Seed, Self: cfg.Self.Target, DataCentre: cfg.DataCentre,
+			Outliers: cfg.Policy.Outliers, SlowStart: cfg.Policy.SlowStart, Spill: cfg.Policy.Spill,
+		}, now),
 		guard:    admission.New(cfg.Admission),
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
--- a/core/engine/policy.go
+++ b/core/engine/policy.go
@@ -9,7 +9,7 @@
 	Classes bool
 	// Levels refuses at the entry what would be refused deeper in the chain.
 	Levels bool
-	// Budget divides one allotment of retries over the chain; otherwise each
+	// Budget divides one allotment of retries over the chain; without it each
 	// layer makes up to HopAttempts attempts.
 	Budget      bool
 	HopAttempts int
@@ -22,6 +22,9 @@
 	Outliers bool
 	// SlowStart gives cold upstreams a growing share of work.
 	SlowStart bool
+	// Spill keeps work in the own data centre unless that is loaded, and bounds
+	// what leaves it.
+	Spill bool
 	// Ownership runs a request that is not idempotent at most once.
 	Ownership bool
 	// Poison bounds the upstreams that one request may crash.
@@ -32,7 +35,8 @@
 func Full() Policy {
 	return Policy{
 		Adaptive: true, Classes: true, Levels: true, Budget: true, RetryRatio: true,
-		Deadlines: true, Outliers: true, SlowStart: true, Ownership: true, Poison: true,
+		Deadlines: true, Outliers: true, SlowStart: true, Spill: true, Ownership: true, Poison: true,
+		HopAttempts: 3,
 	}
 }
 
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -18,7 +19,7 @@
 	}
 	peer := n.pick(c)
 	if peer == nil {
-		n.refuse(c, ReasonNoTarget)
+		n.refuse(c, n.whyNone(c))
 		return
 	}
 	n.service(c.route.Service).ratio.First()
@@ -27,12 +28,22 @@
 
 // pick chooses the target of the next attempt at c, nil if none takes it.
 func (n *Node) pick(c *call) *member.Peer {
-	return n.balancer.Pick(n.view.Service(c.route.Service), balancer.Options{
-		Exclude:    n.excluded(c),
-		Rank:       uint16(c.rank()),
-		DataCentre: n.cfg.DataCentre,
-		Now:        n.now,
-	})
+	o := balancer.Options{Exclude: n.excluded(c), SelfLoad: n.Load(), Now: n.now}
+	if n.cfg.Policy.Levels {
+		o.Rank = uint16(c.rank())
+	}
+	return n.balancer.Pick(c.route.Service, n.view.Service(c.route.Service), o)
+}
+
+// whyNone tells why no target takes c: all that work refuse its rank, or none
+// works.
+func (n *Node) whyNone(c *call) Reason {
+	for _, p := range n.view.Service(c.route.Service) {
+		if p.Takes() && !slices.Contains(c.tried, p.Target) {
+			return ReasonOverload
+		}
+	}
+	return ReasonNoTarget
 }
 
 func (n *Node) attemptOn(c *call, peer *member.Peer) {
@@ -58,7 +69,7 @@
 	a.send = wire.SendID{Node: n.cfg.Self, Sequence: n.nextSend}
 	a.loan = n.lend(c, stage)
 	c.launched = c.launched || stage == StageRun
-	n.balancer.Started(target)
+	n.balancer.Started(n.now, target)
 	n.emit(&SendCall{
 		Attempt: a.id, Target: target, Request: c.request,
 		Wait: n.waitAfterHop(c), Stage: stage, Class: c.class,
