--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -46,6 +46,14 @@
 	ReasonAttemptLost
 	ReasonWokeLate
 	ReasonKeyReused
+	// ReasonStale means the send carried no stamp of its receiver, or one so old
+	// that the send may be a late copy; the answer brings a new stamp.
+	ReasonStale
+	// ReasonKeyExpired means the node that issued the key has restarted since,
+	// or issued it longer ago than the resend window.
+	ReasonKeyExpired
+	// ReasonUpstreamCrashed means the upstream crashed while it ran the call.
+	ReasonUpstreamCrashed
 	// ReasonBudget means that the request's attempts are spent.
 	ReasonBudget
 )
@@ -62,6 +70,8 @@
 	Tokens int
 	// Load is the state of the answering node's upstream.
 	Load wire.Load
+	// Stamp is the answering node's time, set in answers to other nodes.
+	Stamp wire.Stamp
 }
 
 // Action is what the engine asks its runtime to do.
@@ -89,6 +99,8 @@
 	Send    wire.SendID
 	// Rerun tells that an earlier attempt at the call may have run.
 	Rerun bool
+	// Heard is the latest stamp of the receiver, for CallArrived.Heard.
+	Heard wire.Stamp
 }
 
 // ReplyCall ends a call; each CallArrived gets exactly one.
--- a/core/engine/chain_test.go
+++ b/core/engine/chain_test.go
@@ -20,11 +20,13 @@
   front:
     targets: 1
     routes:
-      get: {method: GET, path: /front, class: low, idempotent: true, wait: 2s, retries: 4, calls: [back.get, back.get, back.get]}
+      get: {method: GET, path: /front, class: low, idempotent: true, wait: 2s, retries: 4, calls: [back.get, back.more, back.last]}
   back:
     targets: 2
     routes:
       get: {method: GET, path: /back, class: low, idempotent: true, wait: 1s, retries: 2}
+      more: {method: GET, path: /more, class: low, idempotent: true, wait: 1s, retries: 2}
+      last: {method: GET, path: /last, class: low, idempotent: true, wait: 1s, retries: 2}
 `
 
 // bench drives one node, "front-1", by hand.
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -59,6 +59,8 @@
 	trees    treeSizes
 	nextID   AttemptID
 	nextSend uint64
+	// refused counts refusals for Status.
+	refused map[refusal]uint64
 
 	state     wire.NodeState
 	heartbeat time.Duration
@@ -79,11 +81,11 @@
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
+		refused:  map[refusal]uint64{},
+		state:    wire.NodeServing,
 
 		allotments: budget.NewMemory(maxAllotments),
 		services:   map[string]*serviceState{},
-
-		state: wire.NodeServing,
 	}
 }
 
