Measure crashes, a chain of twelve and parallel calls

Cause: no case lost an instance, and none was deeper than four calls.

Change: case upstream_loss crashes one instance of each service below the entry; case retry_storm does so while callers send again at once, in a generated chain of twelve and in a tree whose upstreams make three calls at once. Policy names of the form full-<mechanism> switch one mechanism off.

--- a/core/engine/policy.go
+++ b/core/engine/policy.go
@@ -45,3 +45,19 @@
 
 // Static has a fixed limit and a retry cap at each layer.
 func Static() Policy { return Policy{HopAttempts: 2} }
+
+// Without returns p with the named mechanism switched off, and false if there is
+// no such mechanism.
+func (p Policy) Without(mechanism string) (Policy, bool) {
+	switches := map[string]*bool{
+		"adaptive": &p.Adaptive, "classes": &p.Classes, "levels": &p.Levels, "budget": &p.Budget,
+		"retry_ratio": &p.RetryRatio, "deadlines": &p.Deadlines, "outliers": &p.Outliers,
+		"slow_start": &p.SlowStart, "spill": &p.Spill, "ownership": &p.Ownership, "poison": &p.Poison,
+	}
+	s := switches[mechanism]
+	if s == nil {
+		return p, false
+	}
+	*s = false
+	return p, true
+}
--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -42,7 +42,7 @@
 			}
 		}
 	}
-	return specs
+	return append(specs, lossSpecs(seeds)...)
 }
 
 // All runs what o takes and prints its lines to out, and progress to progress.
--- a/harness/measure/case.go
+++ b/harness/measure/case.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/engine"
@@ -17,6 +18,9 @@
 	Deployment string
 	Demand     float64
 	Seed       uint64
+	// Tree names a generated document that takes the deployment's place; empty
+	// for its own.
+	Tree string
 }
 
 // Result is what one run showed.
@@ -72,5 +76,10 @@
 	case "full":
 		return engine.Full(), nil
 	}
+	if mechanism, ok := strings.CutPrefix(name, "full-"); ok {
+		if p, ok := engine.Full().Without(mechanism); ok {
+			return p, nil
+		}
+	}
 	return engine.Policy{}, fmt.Errorf("no policy %q", name)
 }
--- a/harness/measure/deployment.go
+++ b/harness/measure/deployment.go
@@ -19,6 +19,14 @@
 	capacity float64
 	// important is the share of demand that goes to writes.
 	important float64
+	// chain names the services from the entry of reads to the deepest one, each
+	// of which has this many targets.
+	chain   []string
+	targets int
+	// depth is the length of the longest chain of calls; parallel upstreams make
+	// their calls at once.
+	depth    int
+	parallel bool
 }
 
 // workTime is the mean time an upstream works on a request itself.
@@ -32,6 +40,7 @@
 			"reservo": {Slots: 190, Time: workTime}, "shopxfer": {Slots: 25, Time: workTime},
 		},
 		capacity: 3 * 25 / workTime.Seconds(), important: 0.05,
+		chain: []string{"pullreg", "arrivo", "reservo", "shopxfer"}, targets: 3, depth: 4,
 	},
 	"charter": {
 		name: "charter", document: "charter.yaml", centres: 4, reads: "calendar.trips", writes: "bookings.book",
@@ -40,5 +49,6 @@
 			"bookings": {Slots: 55, Time: workTime}, "crewing": {Slots: 16, Time: workTime},
 		},
 		capacity: 4 * 16 / workTime.Seconds(), important: 0.05,
+		chain: []string{"calendar", "conditions", "bookings", "crewing"}, targets: 4, depth: 4,
 	},
 }
