--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -97,10 +97,10 @@
 	Tokens  int
 	Depth   int
 	Send    wire.SendID
-	// Rerun tells that an earlier attempt at the call may have run.
-	Rerun bool
 	// Heard is the latest stamp of the receiver, for CallArrived.Heard.
 	Heard wire.Stamp
+	// Rerun tells that an earlier attempt at the call may have run.
+	Rerun bool
 }
 
 // ReplyCall ends a call; each CallArrived gets exactly one.
--- a/core/engine/names.go
+++ b/core/engine/names.go
@@ -35,6 +35,9 @@
 	ReasonAttemptLost:      "attempt_lost",
 	ReasonWokeLate:         "woke_late",
 	ReasonKeyReused:        "key_reused",
+	ReasonStale:            "stale",
+	ReasonKeyExpired:       "key_expired",
+	ReasonUpstreamCrashed:  "upstream_crashed",
 	ReasonBudget:           "budget",
 }
 
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -82,10 +82,11 @@
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
 		refused:  map[refusal]uint64{},
-		state:    wire.NodeServing,
 
 		allotments: budget.NewMemory(maxAllotments),
 		services:   map[string]*serviceState{},
+
+		state: wire.NodeServing,
 	}
 }
 
