Run the engine over sockets: one call through two nodes

Cause: the decisions ran under virtual time only. Change: module node with shallotd: the engine behind one lock, listeners for callers, upstream, nodes and operators, a bounded connection pool, links by WebSocket and CBOR, a platform reader, checked settings, key=value logs and metrics; stand-ins for platform, upstream and callers. The engine also tells the time a call spent beside its attempts (MetricAddedTime). Measured: go test -race ./node/daemon passes: a read through front-1, its upstream, deep-1 and its upstream, and a write by way of front-1 that ran once. No speed was measured.

--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -162,6 +162,8 @@
 	MetricAttempts
 	MetricRefused
 	MetricViolation
+	// MetricAddedTime is what a finished call took here beside its attempts.
+	MetricAddedTime
 )
 
 // Stopped tells that the graceful stop is complete.
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -36,7 +36,9 @@
 	tried []string
 	// mayHaveRun is true once any attempt's fate is not certain.
 	mayHaveRun bool
-	heapIndex  int
+	// attempted is the time of the finished attempts.
+	attempted time.Duration
+	heapIndex int
 }
 
 // rank is the admission rank of c.
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -73,6 +74,7 @@
 	} else {
 		n.balancer.Finished(n.now, a.target, r)
 	}
+	a.call.attempted += n.now - a.started
 	a.call.pool.Return(a.loan, left)
 	n.closeAttempt(a)
 }
@@ -143,8 +145,19 @@
 	n.countRefusal(c, reply)
 	n.emit(&Measurement{
 		Metric: MetricCallTime, Class: c.class, Reason: reply.Reason,
-		Group: c.request.Group, Value: n.now - c.arrived, Count: len(c.tried),
+		Group: n.groupOf(c), Value: n.now - c.arrived, Count: len(c.tried),
 	})
+	n.emit(&Measurement{
+		Metric: MetricAddedTime, Class: c.class, Group: n.groupOf(c), Value: n.now - c.arrived - c.attempted,
+	})
+}
+
+// groupOf returns the caller group of c if the document names it.
+func (n *Node) groupOf(c *call) string {
+	if slices.Contains(n.doc.Groups, c.request.Group) {
+		return c.request.Group
+	}
+	return ""
 }
 
 func (n *Node) forget(c *call) {
--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -50,12 +50,13 @@
 	})
 	list := make([]status.Refused, len(keys))
 	for i, k := range keys {
-		list[i] = status.Refused{Class: n.className(k.class), Reason: k.reason.String(), Count: n.refused[k]}
+		list[i] = status.Refused{Class: n.ClassName(k.class), Reason: k.reason.String(), Count: n.refused[k]}
 	}
 	return list
 }
 
-func (n *Node) className(c document.Class) string {
+// ClassName returns the name of a class in the document in force.
+func (n *Node) ClassName(c document.Class) string {
 	if n.doc == nil {
 		return "unknown"
 	}
--- /dev/null
+++ b/node/cmd/shallotd/main.go
@@ -0,0 +1,77 @@
+// Command shallotd runs one node of shallotspool beside one upstream.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/shallotspool/shallotspool/node/daemon"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	s, err := daemon.LoadSettings(args, os.Stdout)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.Is(err, daemon.ErrVersion):
+		fmt.Println("shallotd", version())
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "shallotd:", err)
+		return exitUsage
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.Start(s, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "shallotd:", err)
+		return exitFailure
+	}
+	select {
+	case <-d.Failed():
+		d.Kill()
+		return exitFailure
+	case <-signals:
+		return stop(d, signals)
+	}
+}
+
+// stop stops gracefully, or at once on a second signal.
+func stop(d *daemon.Daemon, signals <-chan os.Signal) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if d.Stop(ctx) == nil {
+		return exitOK
+	}
+	d.Kill()
+	return exitFailure
+}
+
+// version is the module's version as the build recorded it.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/node/internal/loop/ticker.go
@@ -0,0 +1,22 @@
+package loop
+
+import (
+	"context"
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/engine"
+)
+
+// Tick passes time to the engine until ctx ends.
+func (l *Loop) Tick(ctx context.Context) {
+	ticker := time.NewTicker(engine.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.Step(&engine.Tick{})
+		}
+	}
+}
