--- a/core/engine/names.go
+++ b/core/engine/names.go
@@ -35,6 +35,10 @@
 	ReasonAttemptLost:      "attempt_lost",
 	ReasonWokeLate:         "woke_late",
 	ReasonKeyReused:        "key_reused",
+	ReasonStale:            "stale",
+	ReasonKeyExpired:       "key_expired",
+	ReasonUpstreamCrashed:  "upstream_crashed",
+	ReasonBudget:           "budget",
 }
 
 // numbered stands before the number of a reason that has no name, so that a
--- a/node/internal/header/fields.go
+++ b/node/internal/header/fields.go
@@ -36,6 +36,8 @@
 	{name: Depth, bit: 128, from: engine.OriginPeer, required: true, set: setDepth},
 	{name: Send, bit: 256, from: engine.OriginPeer, required: true, set: setSend},
 	{name: Stage, bit: 512, from: engine.OriginPeer, required: true, set: setStage},
+	{name: Heard, bit: 1024, from: engine.OriginPeer, set: setHeard},
+	{name: Rerun, bit: 2048, from: engine.OriginPeer, set: setRerun},
 }
 
 func fieldOf(name string) *field {
@@ -139,6 +141,24 @@
 	return ""
 }
 
+// setHeard reads INCARNATION/CLOCK.
+func setHeard(p *parser, value string) string {
+	stamp, ok := parseStamp(value)
+	p.call.Heard = stamp
+	if !ok {
+		return "is not INCARNATION/CLOCK"
+	}
+	return ""
+}
+
+func setRerun(p *parser, value string) string {
+	p.call.Rerun = true
+	if value != "1" {
+		return "is not 1"
+	}
+	return ""
+}
+
 // The values of Shallot-Stage.
 const (
 	stageRun = "run"
@@ -162,3 +182,15 @@
 	}
 	return stageRun
 }
+
+// FormatStamp returns the value of Shallot-Heard and Shallot-Stamp.
+func FormatStamp(s wire.Stamp) string {
+	return strconv.FormatUint(s.Incarnation, 10) + "/" + strconv.FormatUint(s.Clock, 10)
+}
+
+func parseStamp(text string) (wire.Stamp, bool) {
+	incarnation, clock, _ := strings.Cut(text, "/")
+	i, wrongI := number(incarnation, 0, math.MaxUint64)
+	c, wrongC := number(clock, 0, math.MaxUint64)
+	return wire.Stamp{Incarnation: i, Clock: c}, wrongI+wrongC == ""
+}
--- a/node/internal/header/parse.go
+++ b/node/internal/header/parse.go
@@ -34,6 +34,8 @@
 	Tokens  int
 	Depth   int
 	Send    wire.SendID
+	Heard   wire.Stamp
+	Rerun   bool
 	// Extra holds the caller's own header lines in wire form.
 	Extra []byte
 }
--- a/node/internal/header/reply.go
+++ b/node/internal/header/reply.go
@@ -23,6 +23,7 @@
 	h.Set(Reason, r.Reason.String())
 	h.Set(Budget, strconv.Itoa(r.Tokens))
 	h.Set(Load, formatLoad(r.Load))
+	h.Set(Stamp, FormatStamp(r.Stamp))
 	if r.RetryAfter > 0 {
 		h.Set(RetryAfterMS, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	}
@@ -46,6 +47,9 @@
 	if r.Load, known = parseLoad(string(h.Peek(Load))); !known {
 		return r, errors.Wrap(ErrReply, Load)
 	}
+	if r.Stamp, known = parseStamp(string(h.Peek(Stamp))); !known {
+		return r, errors.Wrap(ErrReply, Stamp)
+	}
 	if text := h.Peek(RetryAfterMS); len(text) > 0 {
 		ms, wrong := number(string(text), 0, maxWait)
 		if wrong != "" {
--- a/node/internal/link/hello.go
+++ b/node/internal/link/hello.go
@@ -47,7 +47,7 @@
 }
 
 func (h *Hub) readHello(conn *websocket.Conn) (wire.NodeID, error) {
-	conn.SetReadLimit(maxFrame)
+	conn.SetReadLimit(wire.MaxDocumentFrameBytes)
 	_ = conn.SetReadDeadline(time.Now().Add(helloLimit))
 	f, _, err := readFrame(conn)
 	if err != nil {
--- a/node/internal/link/link.go
+++ b/node/internal/link/link.go
@@ -120,9 +120,9 @@
 }
 
 func writeFrame(conn *websocket.Conn, f *wire.Frame) error {
-	text, err := encode(f)
+	text, err := wire.Encode(f)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "write frame")
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(writeLimit))
 	return errors.Wrap(conn.WriteMessage(websocket.BinaryMessage, text), "write frame")
@@ -136,8 +136,8 @@
 	if kind != websocket.BinaryMessage {
 		return nil, 0, errors.New("read frame: not a binary message")
 	}
-	f, err := decode(text)
-	return f, len(text), err
+	f, err := wire.Decode(text)
+	return f, len(text), errors.Wrap(err, "read frame")
 }
 
 // rate is a token bucket of one second for frames and one for bytes.
