--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -38,6 +38,8 @@
 	tried []string
 	// mayHaveRun is true once any attempt's fate is not certain.
 	mayHaveRun bool
+	// attempted is the time of the finished attempts.
+	attempted time.Duration
 	// again is true when an attempt at c was made before c arrived, so that its
 	// first attempt here is a repeat.
 	again bool
