Steady the limit, the level and the balance between them

Cause: the first runs to end are the short ones and made the baseline too low; a window mixed runs from before and after a move; the level opened fast into an upstream that was only briefly empty; load told 250 ms ago drew all calls to one target at a time.

Change: the first generation of runs is passed over, windows begin when the last move has settled, a fall is checked by a dip, the limit grows fast until its first fall. The level learns the rate only while calls wait, opens slowly at first and knows the number of classes. In flight calls and limit are taken in with each answer.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -68,15 +68,21 @@
 	limiter limiter
 	level   leveller
 	queue   queue
-	// running tells of each running item whether its run is a light one.
-	running map[uint64]bool
+	running map[uint64]run
 	// refused holds items that gave way and wait to be told by Next.
 	refused []Item
 }
 
+// run is one running item.
+type run struct {
+	started time.Duration
+	// light tells that it began while few were running.
+	light bool
+}
+
 // New returns a Controller.
 func New(cfg Config) *Controller {
-	return &Controller{cfg: cfg, limiter: newLimiter(cfg), level: newLeveller(), running: map[uint64]bool{}}
+	return &Controller{cfg: cfg, limiter: newLimiter(cfg), level: newLeveller(), running: map[uint64]run{}}
 }
 
 // Offer decides on a new item. Refused items are forgotten at once. An item
@@ -90,7 +96,7 @@
 		return Refuse
 	}
 	if c.queue.len() == 0 && len(c.running) < c.Limit() {
-		c.run(now, item.ID)
+		c.start(now, item.ID)
 		return Run
 	}
 	c.level.busy = true
@@ -110,9 +116,9 @@
 	return Wait
 }
 
-func (c *Controller) run(now time.Duration, id uint64) {
+func (c *Controller) start(now time.Duration, id uint64) {
 	inFlight := len(c.running) + 1
-	c.running[id] = c.limiter.isLight(inFlight)
+	c.running[id] = run{started: now, light: c.limiter.isLight(inFlight)}
 	c.limiter.started(now, inFlight)
 }
 
@@ -145,7 +151,7 @@
 
 // Done takes in the end of a run and frees its place.
 func (c *Controller) Done(now time.Duration, s Sample) {
-	light, found := c.running[s.ID]
+	r, found := c.running[s.ID]
 	if !found {
 		return
 	}
@@ -155,7 +161,7 @@
 	}
 	c.level.done++
 	if c.cfg.Adaptive {
-		c.limiter.done(now, s.Own, light)
+		c.limiter.done(now, s.Own, now-r.started, r.light)
 	}
 }
 
@@ -184,10 +190,13 @@
 		return Item{}, 0, false
 	}
 	item = c.queue.popBest()
-	c.run(now, item.ID)
+	c.start(now, item.ID)
 	return item, Run, true
 }
 
+// SetClasses tells how many classes the document has.
+func (c *Controller) SetClasses(count int) { c.level.classes = min(max(count, 1), MaxClasses) }
+
 // Tick passes time.
 func (c *Controller) Tick(now time.Duration) {
 	if c.cfg.Timed {
--- a/core/admission/level.go
+++ b/core/admission/level.go
@@ -9,10 +9,14 @@
 	demandWeight = 0.3
 	// queueTarget is the queue time that keeps the upstream busy through short
 	// lulls, and queueSettle the time within which the level corrects it.
-	queueTarget = 20 * time.Millisecond
-	queueSettle = 200 * time.Millisecond
-	// idleOpen is the factor by which an upstream with room is opened further.
-	idleOpen = 1.5
+	queueTarget = 40 * time.Millisecond
+	queueSettle = 400 * time.Millisecond
+	// idleOpen is the factor by which an upstream with room is opened further; it
+	// grows by idleGrowth with each interval up to idleMost, as the news of a move
+	// takes some intervals to show.
+	idleOpen   = 1.05
+	idleGrowth = 1.1
+	idleMost   = 2.0
 	// levelFall and levelRise bound the share of its rate that a busy upstream
 	// is offered after one move.
 	levelFall = 0.6
@@ -27,6 +31,8 @@
 // from the part of it that is let through.
 type leveller struct {
 	level Rank
+	// classes is the number of classes there are.
+	classes int
 	// rate is the completions per second, smoothed.
 	rate float64
 	// demand is the calls per second of each class, were all let through.
@@ -37,9 +43,13 @@
 	done    int
 	// busy tells that the upstream had no room at some time since the last move.
 	busy bool
+	// waited tells that calls waited at the last move.
+	waited bool
+	// open is the factor by which the next interval with room opens it.
+	open float64
 }
 
-func newLeveller() leveller { return leveller{level: RankAll} }
+func newLeveller() leveller { return leveller{level: RankAll, classes: MaxClasses, open: idleOpen} }
 
 func (l *leveller) offered(r Rank) {
 	if r <= l.level {
@@ -54,7 +64,7 @@
 		return
 	}
 	l.movedAt = now
-	l.rate += demandWeight * (float64(l.done)/elapsed.Seconds() - l.rate)
+	l.learnRate(float64(l.done)/elapsed.Seconds(), queued > 0)
 	offered := l.learnDemand(elapsed)
 	busy := l.busy || queued > 0
 	l.done, l.busy, l.offers = 0, false, [MaxClasses]int{}
@@ -64,9 +74,18 @@
 	l.move(l.wanted(busy, offered, queued))
 }
 
+// learnRate takes in the completions per second of one interval. Only one that
+// had calls waiting throughout shows the most that the upstream can do.
+func (l *leveller) learnRate(rate float64, waits bool) {
+	if (l.waited && waits) || rate > l.rate {
+		l.rate += demandWeight * (rate - l.rate)
+	}
+	l.waited = waits
+}
+
 // learnDemand returns the calls offered per second up to the level.
 func (l *leveller) learnDemand(elapsed time.Duration) float64 {
-	top, total := l.level.class(), 0.0
+	top, total := min(l.level.class(), l.classes-1), 0.0
 	for class := 0; class <= top; class++ {
 		share := l.shareOf(class)
 		seen := float64(l.offers[class]) / elapsed.Seconds() / share
@@ -87,8 +106,10 @@
 // wanted returns the calls per second that the upstream should be offered.
 func (l *leveller) wanted(busy bool, offered float64, queued int) float64 {
 	if !busy {
-		return max(offered, l.rate) * idleOpen
+		l.open = min(l.open*idleGrowth, idleMost)
+		return max(offered, l.rate) * l.open
 	}
+	l.open = idleOpen
 	if l.rate == 0 {
 		return offered
 	}
@@ -100,7 +121,7 @@
 // move sets the level to where rate calls per second are offered.
 func (l *leveller) move(rate float64) {
 	top, room := l.level.class(), rate
-	for class := 0; class < MaxClasses; class++ {
+	for class := 0; class < l.classes; class++ {
 		if class > top {
 			l.level = RankOf(uint8(class), min(classStep, uint16(share(room, l.demand[class]))))
 			return
--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -4,22 +4,27 @@
 
 const (
 	// windowSamples is the number of runs one step of the limit is judged by.
-	windowSamples = 30
-	// windowWeight is the weight of the newest window in the smoothed own time.
-	windowWeight = 0.4
+	windowSamples = 60
 	// headroom is what the limit keeps above the slots it estimates.
 	headroom = 1.2
 	// growth and shrink bound one step of the limit.
 	growth = 1.4
 	shrink = 0.8
+	// firstFall is the own time, in baselines, that ends the fast growth at the
+	// start.
+	firstFall = 1.5
+	// doubt is the factor of a fall that a dip checks first.
+	doubt = 0.8
 	// lightShare is the share of the limit below which a run certainly met no
 	// queue inside the upstream, once the limit is near the slots.
-	lightShare = 0.7
+	lightShare = 0.6
 	// baseSamples is the memory of the baseline, in runs.
 	baseSamples = 100
 	// baseJump is the factor between a window of light runs and the baseline at
 	// which the window replaces it.
-	baseJump = 1.4
+	baseJump = 1.3
+	// baseSlack is the most that the baseline is above the own time of any window.
+	baseSlack = 1.15
 	// dipInterval is the time between two dips while the limit is reached.
 	dipInterval = 2 * time.Second
 	// dipPause is the least time between a dip and the next one that a
@@ -41,15 +46,25 @@
 type limiter struct {
 	cfg   Config
 	limit float64
-	// own is the smoothed own time and base the baseline, in seconds.
+	// own is the own time of the last window and base the baseline, in seconds.
 	own, base float64
 	baseRuns  int
+	// skip is the number of runs yet to be passed over: those that end first
+	// after a start are the short ones.
+	skip int
 
 	window window
 	light  window
+	// total is the sum of the whole times of the runs in the window, in seconds.
+	total float64
+	// settled is when runs that began under the limit before are over.
+	settled time.Duration
 	// reached tells that the limit was hit in this window.
 	reached bool
 
+	// settledOnce tells that the limit has once been higher than it should be.
+	settledOnce bool
+
 	dipping  bool
 	dipBegan time.Duration
 	dipEnded time.Duration
@@ -70,7 +85,7 @@
 
 func (w *window) mean() float64 { return w.sum / float64(w.count) }
 
-func newLimiter(cfg Config) limiter { return limiter{cfg: cfg, limit: float64(cfg.Initial)} }
+func newLimiter(cfg Config) limiter { return limiter{cfg: cfg, limit: float64(cfg.Initial), skip: cfg.Initial} }
 
 // current returns the number of calls that may run at once now.
 func (l *limiter) current() int {
@@ -98,19 +113,27 @@
 // full takes in that a call had to wait or was refused.
 func (l *limiter) full() { l.reached = true }
 
-// done takes in a run that ended with a whole answer.
-func (l *limiter) done(now, own time.Duration, light bool) {
-	if l.base == 0 && l.baseRuns < windowSamples {
+// done takes in a run that ended with a whole answer after total.
+func (l *limiter) done(now, own, total time.Duration, light bool) {
+	if l.skip > 0 {
+		l.skip--
+		return
+	}
+	if l.baseRuns < windowSamples {
 		light = true
 	}
 	if light {
 		l.learnBase(now, own)
 	}
-	if l.window.count == 0 && l.window.began == 0 {
+	if now < l.settled {
+		return
+	}
+	if l.window.count == 0 {
 		l.window.began = now
 	}
 	l.window.add(own)
-	if l.window.count >= windowSamples && now > l.window.began {
+	l.total += total.Seconds()
+	if l.window.count >= windowSamples && now-l.window.began >= max(seconds(l.base), time.Millisecond) {
 		l.step(now)
 	}
 }
@@ -133,26 +156,30 @@
 
 // step moves the limit after a window.
 func (l *limiter) step(now time.Duration) {
-	w := l.window
-	l.window = window{began: now}
-	reached := l.reached
-	l.reached = false
-	if l.own == 0 {
-		l.own = w.mean()
-	}
-	l.own += windowWeight * (w.mean() - l.own)
+	w, total, reached := l.window, l.total/float64(l.window.count), l.reached
+	l.window, l.total, l.reached = window{}, 0, false
+	l.own = w.mean()
+	l.base = min(l.base, l.own*baseSlack)
 	if l.dipping || !reached {
 		return
 	}
-	rate := float64(w.count) / (now - w.began).Seconds()
+	rate := float64(w.count-1) / (now - w.began).Seconds()
 	inside := max(0, rate*(l.own-l.base))
 	target := headroom*(l.limit-inside) + 1
-	if target < l.limit && l.dipDue(now, dipPause) {
+	if !l.settledOnce {
+		l.settledOnce = l.own > firstFall*l.base
+		target = l.limit * growth
+	}
+	if target < l.limit*doubt && l.dipDue(now, dipPause) {
 		l.dip(now)
 		return
 	}
+	if l.settledOnce {
+		target = (target + l.limit) / 2
+	}
 	next := min(max(target, l.limit*shrink), l.limit*growth)
 	l.limit = min(max(next, float64(l.cfg.Min)), float64(l.cfg.Max))
+	l.settled = now + seconds(total)
 }
 
 func (l *limiter) dipDue(now, pause time.Duration) bool { return now-l.dipEnded >= pause }
@@ -166,8 +193,8 @@
 	switch {
 	case l.dipping && (l.dipRuns >= dipSamples || now-l.dipBegan > maxDip):
 		l.dipping, l.dipEnded = false, now
-		l.own = 0
-		l.window = window{began: now}
+		l.window, l.total = window{}, 0
+		l.settled = now + seconds(l.base)
 	case !l.dipping && reached && l.base > 0 && l.dipDue(now, dipInterval):
 		l.dip(now)
 	}
--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -75,6 +75,7 @@
 	}
 	n.doc = doc
 	n.levels.forgetRoutes()
+	n.guard.SetClasses(n.classes())
 	if n.keys == nil {
 		n.keys = owner.NewTable(owner.Config{
 			Window: doc.ResendWindow, MaxKeys: doc.Answers.Keys, MaxBytes: doc.Answers.Bytes,
--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -23,6 +23,14 @@
 	return admission.RankOf(uint8(c.class), c.priority)
 }
 
+// classes returns the number of classes that ranks tell apart.
+func (n *Node) classes() int {
+	if !n.cfg.Policy.Classes {
+		return 1
+	}
+	return len(n.doc.Classes)
+}
+
 // drawPriority draws the priority within its class of a call that enters here.
 func (n *Node) drawPriority() uint16 { return uint16(n.random.IntN(admission.Priorities)) }
 
--- a/core/engine/levels.go
+++ b/core/engine/levels.go
@@ -54,6 +54,9 @@
 	if a.local {
 		return
 	}
+	if p := n.view.Peer(a.target); p != nil && load.Limit > 0 {
+		p.Load.InFlight, p.Load.Limit = load.InFlight, load.Limit
+	}
 	n.levels.told[levelKey{a.target, a.call.route.Name}] = toldLevel{admission.Rank(load.Level), n.now}
 }
 
@@ -73,20 +76,23 @@
 	if c, ok := n.levels.cached[r]; ok && n.now < c.until {
 		return c.level
 	}
+	worst := admission.RankOf(uint8(n.classes()-1), admission.Priorities-1)
 	sum, count := 0, 0
 	for _, p := range n.view.Service(r.Service) {
 		if !p.Takes() {
 			continue
 		}
 		count++
+		level := admission.RankAll
 		if p.Target == n.cfg.Self.Target {
-			sum += int(n.ownLevel(r, depth))
+			level = n.ownLevel(r, depth)
 		} else {
-			sum += int(n.toldLevel(p.Target, r, p.Load))
+			level = n.toldLevel(p.Target, r, p.Load)
 		}
+		sum += int(min(level, worst))
 	}
 	level := admission.RankAll
-	if count > 0 {
+	if count > 0 && sum < count*int(worst) {
 		level = admission.Rank(sum / count)
 	}
 	n.levels.cached[r] = cachedLevel{level, n.now + levelCache}
