--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -1,22 +1,39 @@
 package engine
 
 import (
+	"time"
+
 	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
-// try makes one attempt at c on a target of its service.
+// try makes the first attempt at c on a target of its service.
 func (n *Node) try(c *call) {
-	peer := n.balancer.Pick(n.view.Service(c.route.Service), balancer.Options{
+	if !n.payFirst(c) {
+		n.refuse(c, ReasonBudget)
+		return
+	}
+	peer := n.pick(c)
+	if peer == nil {
+		n.refuse(c, ReasonNoTarget)
+		return
+	}
+	n.service(c.route.Service).ratio.First()
+	n.attemptOn(c, peer)
+}
+
+// pick chooses the target of the next attempt at c, nil if none takes it.
+func (n *Node) pick(c *call) *member.Peer {
+	return n.balancer.Pick(n.view.Service(c.route.Service), balancer.Options{
 		Exclude:    n.excluded(c),
 		Rank:       uint16(n.rankOf(c)),
 		DataCentre: n.cfg.DataCentre,
 		Now:        n.now,
 	})
-	if peer == nil {
-		n.refuse(c, ReasonNoTarget)
-		return
-	}
+}
+
+func (n *Node) attemptOn(c *call, peer *member.Peer) {
 	if peer.Target == n.cfg.Self.Target {
 		n.runHere(c)
 		return
@@ -37,15 +54,37 @@
 	n.nextSend++
 	a := n.newAttempt(c, target, stage)
 	a.send = wire.SendID{Node: n.cfg.Self, Sequence: n.nextSend}
-	a.loan = c.pool.LendAll()
+	a.loan = n.lend(c, stage)
+	c.launched = c.launched || stage == StageRun
 	n.balancer.Started(target)
 	n.emit(&SendCall{
 		Attempt: a.id, Target: target, Request: c.request,
-		Wait: c.deadline - n.now, Stage: stage, Class: c.class, Priority: c.priority,
-		Tokens: a.loan, Depth: c.depth, Send: a.send,
+		Wait: n.waitAfterHop(c), Stage: stage, Class: c.class, Priority: c.priority,
+		Tokens: a.loan, Depth: c.depth, Send: a.send, Rerun: c.rerun,
 	})
 }
 
+// hopTime is what a hop to another node takes of the time that remains: the
+// answer has to be back before this node's own deadline.
+const hopTime = time.Millisecond
+
+// waitAfterHop is the time the next node has for c; 0 tells it nothing.
+func (n *Node) waitAfterHop(c *call) time.Duration {
+	if !n.cfg.Policy.Deadlines {
+		return 0
+	}
+	return max(c.deadline-n.now-hopTime, time.Nanosecond)
+}
+
+// lend takes from c's pool what a send takes along. The owner of a key gets
+// everything: it makes the attempts.
+func (n *Node) lend(c *call, stage Stage) int {
+	if stage == StageOwn {
+		return c.pool.LendAll()
+	}
+	return c.pool.LendFor(n.treeSize(c.route))
+}
+
 func (n *Node) newAttempt(c *call, target string, stage Stage) *attempt {
 	n.nextID++
 	a := &attempt{id: n.nextID, call: c, target: target, stage: stage, started: n.now}
--- a/harness/sim/stats.go
+++ b/harness/sim/stats.go
@@ -6,6 +6,7 @@
 
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/harness/attempts"
 )
 
 // Bucket is the grain of the goodput curve.
@@ -27,6 +28,8 @@
 	// requests whose callers got theirs in time.
 	Worked time.Duration
 	Useful time.Duration
+	// Attempts counts what was tried for each request.
+	Attempts attempts.Counter
 
 	runs map[string]int
 	// workOn is the upstream time on whole answers for requests yet open.
