--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -85,7 +85,9 @@
 
 func (w *window) mean() float64 { return w.sum / float64(w.count) }
 
-func newLimiter(cfg Config) limiter { return limiter{cfg: cfg, limit: float64(cfg.Initial), skip: cfg.Initial} }
+func newLimiter(cfg Config) limiter {
+	return limiter{cfg: cfg, limit: float64(cfg.Initial), skip: cfg.Initial}
+}
 
 // current returns the number of calls that may run at once now.
 func (l *limiter) current() int {
