Probe ejected targets with repeatable calls, also those nobody needs

Cause: an ejected target in another data centre was never probed while the own one took the work, and stayed ejected; a probe could be a call that must not be repeated.

Change: a due probe is looked for at each choice while anything is ejected, and is a call that is idempotent and can pay for its repeat; only a target that waits long for one is tried with any. Randomised tests of the balancer: never nil while one takes work, at most half ejected, all come back; spill is bounded.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -53,6 +53,9 @@
 	Exclude []string
 	// Rank is the call's admission rank; targets that refuse it are passed over.
 	Rank uint16
+	// Repeatable tells that the call can be tried again should this attempt get
+	// lost.
+	Repeatable bool
 	// SelfLoad is the load of the chooser's own upstream.
 	SelfLoad wire.Load
 	// Now is the chooser's time.
@@ -63,12 +66,29 @@
 // only when none of them takes work of this rank.
 func (b *Balancer) Pick(service string, peers []*member.Peer, o Options) *member.Peer {
 	g := b.group(service, peers, o.Now)
+	if m := b.probe(g, &o); m != nil {
+		return m.peer
+	}
 	if m := b.choose(g, &o); m != nil {
 		return m.peer
 	}
 	return b.anyOf(g, peers, &o)
 }
 
+// probe returns an ejected target that is to be tried again, if there is any.
+func (b *Balancer) probe(g *group, o *Options) *candidate {
+	if g.outliers.Ejected() == 0 {
+		return nil
+	}
+	for i := range g.all {
+		m := &g.all[i]
+		if m.target.outlier.ProbeDue(o.Now, o.Repeatable) && b.open(m, o) {
+			return m
+		}
+	}
+	return nil
+}
+
 func (b *Balancer) choose(g *group, o *Options) *candidate {
 	if !b.cfg.Spill {
 		m, _ := b.better(g.all, o)
@@ -125,14 +145,16 @@
 }
 
 func (b *Balancer) usable(m *candidate, o *Options) bool {
+	return b.open(m, o) && !(b.cfg.Outliers && m.target.outlier.Ejected())
+}
+
+// open tells whether m takes the call, for all that it told itself.
+func (b *Balancer) open(m *candidate, o *Options) bool {
 	if !m.peer.Takes() || slices.Contains(o.Exclude, m.peer.Target) {
 		return false
 	}
 	b.refresh(m, o.Now)
-	if !m.target.admits(o) {
-		return false
-	}
-	return !b.cfg.Outliers || m.target.outlier.Takes(o.Now)
+	return m.target.admits(o)
 }
 
 // anyOf is the last resort: it takes a target that is ejected or outside the
--- /dev/null
+++ b/core/balancer/balancer_test.go
@@ -0,0 +1,195 @@
+package balancer_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/member"
+	"github.com/shallotspool/shallotspool/core/spill"
+	"github.com/shallotspool/shallotspool/core/wire"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// fleet returns n working peers, the first local ones in data centre dc0.
+func fleet(n, local int) []*member.Peer {
+	var peers []*member.Peer
+	for i := range n {
+		centre := "dc0"
+		if i >= local {
+			centre = "dc1"
+		}
+		peers = append(peers, &member.Peer{
+			Instance: member.Instance{Target: fmt.Sprintf("s-%d", i), Service: "s", DataCentre: centre},
+			State:    wire.NodeServing, Linked: true, Incarnation: 1,
+			Load: wire.Load{Limit: 20, Level: 0xffff},
+		})
+	}
+	return peers
+}
+
+func newBalancer() *balancer.Balancer {
+	return balancer.New(balancer.Config{
+		Seed: 1, Self: "other-1", DataCentre: "dc0", Outliers: true, SlowStart: true, Spill: true,
+	}, 0)
+}
+
+func TestEjectionIsCappedAndEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := fleet(rapid.IntRange(1, 60).Draw(t, "peers"), rapid.IntRange(0, 60).Draw(t, "local"))
+		b := newBalancer()
+		now := time.Minute
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, len(peers)-1).Draw(t, "peer")
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				peers[i].Linked = !peers[i].Linked
+			case 1:
+				peers[i].Leaving = !peers[i].Leaving
+			case 2:
+				peers[i].Incarnation++
+			}
+			p := b.Pick("s", peers, balancer.Options{Now: now})
+			if (p == nil) == anyTakes(peers) {
+				t.Fatalf("picked %v of %d peers", p, len(peers))
+			}
+			if ejected, size := b.Ejected("s"); ejected > size/2 {
+				t.Fatalf("%d of %d are ejected", ejected, size)
+			}
+			if p != nil {
+				b.Started(now, p.Target)
+				b.Finished(now, p.Target, now, rapid.SampledFrom([]balancer.Result{
+					balancer.ResultOK, balancer.ResultFailed, balancer.ResultFailed, balancer.ResultTimeout, balancer.ResultCancelled,
+				}).Draw(t, "result"))
+			}
+		}
+		heal(t, b, peers, now)
+	})
+}
+
+func anyTakes(peers []*member.Peer) bool {
+	for _, p := range peers {
+		if p.Takes() {
+			return true
+		}
+	}
+	return false
+}
+
+// heal lets every attempt succeed and wants nobody ejected in the end.
+func heal(t *rapid.T, b *balancer.Balancer, peers []*member.Peer, now time.Duration) {
+	for _, p := range peers {
+		p.Leaving, p.Linked = false, true
+	}
+	for range 100 * len(peers) {
+		now += 20 * time.Millisecond
+		p := b.Pick("s", peers, balancer.Options{Now: now, Repeatable: true})
+		b.Started(now, p.Target)
+		b.Finished(now, p.Target, now, balancer.ResultOK)
+	}
+	if ejected, size := b.Ejected("s"); ejected != 0 {
+		t.Fatalf("%d of %d are still ejected", ejected, size)
+	}
+}
+
+func TestDeadTargetStopsAfterAFewAttempts(t *testing.T) {
+	peers := fleet(4, 4)
+	b := newBalancer()
+	now, dead := time.Minute, 0
+	for range 1000 {
+		p := b.Pick("s", peers, balancer.Options{Now: now})
+		b.Started(now, p.Target)
+		result := balancer.ResultOK
+		if p == peers[0] {
+			dead++
+			result = balancer.ResultFailed
+		}
+		b.Finished(now, p.Target, now, result)
+	}
+	if dead != 3 {
+		t.Fatalf("%d attempts at a dead target", dead)
+	}
+}
+
+func TestSpillIsBounded(t *testing.T) {
+	peers := fleet(8, 4)
+	for _, p := range peers[:4] {
+		p.Load.InFlight = 40
+	}
+	b := newBalancer()
+	const picks = 1000
+	away := 0
+	for range picks {
+		if b.Pick("s", peers, balancer.Options{Now: time.Minute}).DataCentre != "dc0" {
+			away++
+		}
+	}
+	if float64(away) > spill.Share*picks+1 || away < picks/5 {
+		t.Fatalf("%d of %d choices left a loaded data centre", away, picks)
+	}
+}
+
+func TestColdTargetGetsAGrowingShare(t *testing.T) {
+	peers := fleet(4, 4)
+	b := newBalancer()
+	b.Pick("s", peers, balancer.Options{Now: time.Minute})
+	peers[0].Incarnation = 2
+	share := func(now time.Duration) int {
+		held, cold := []string{}, 0
+		for range 40 {
+			p := b.Pick("s", peers, balancer.Options{Now: now})
+			b.Started(now, p.Target)
+			held = append(held, p.Target)
+			if p == peers[0] {
+				cold++
+			}
+		}
+		for _, name := range held {
+			b.Finished(now, name, now, balancer.ResultOK)
+		}
+		return cold
+	}
+	first, later := share(time.Minute), share(time.Minute+5*time.Second)
+	if first > 4 || later < 6 {
+		t.Fatalf("of 40 choices a cold target got %d, a warm one %d", first, later)
+	}
+}
+
+func TestLevelPassesOverTargetsUntilItIsOld(t *testing.T) {
+	peers := fleet(2, 2)
+	b := newBalancer()
+	for _, p := range peers {
+		p.Load.Level = 0x0100
+	}
+	o := balancer.Options{Now: time.Minute, Rank: 0x0200}
+	if p := b.Pick("s", peers, o); p != nil {
+		t.Fatalf("%s was picked for a rank it refuses", p.Target)
+	}
+	o.Now += 2 * time.Second
+	if b.Pick("s", peers, o) == nil {
+		t.Fatal("an old level still counts")
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	peers := fleet(4300, 300)
+	balance := newBalancer()
+	b.ReportAllocs()
+	for b.Loop() {
+		p := balance.Pick("s", peers, balancer.Options{Now: time.Minute})
+		balance.Started(time.Minute, p.Target)
+		balance.Finished(time.Minute, p.Target, time.Minute, balancer.ResultOK)
+	}
+}
--- a/core/balancer/group.go
+++ b/core/balancer/group.go
@@ -139,3 +139,13 @@
 		}
 	}
 }
+
+// Ejected returns how many of the targets of service that this node sends to are
+// ejected now, and how many there are.
+func (b *Balancer) Ejected(service string) (ejected, size int) {
+	g := b.groups[service]
+	if g == nil {
+		return 0, 0
+	}
+	return g.outliers.Ejected(), g.outliers.Size
+}
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -29,6 +29,7 @@
 // pick chooses the target of the next attempt at c, nil if none takes it.
 func (n *Node) pick(c *call) *member.Peer {
 	o := balancer.Options{Exclude: n.excluded(c), SelfLoad: n.Load(), Now: n.now}
+	o.Repeatable = c.route.Idempotent && n.affords(c, n.treeSize(c.route))
 	if n.cfg.Policy.Levels {
 		o.Rank = uint16(c.rank())
 	}
--- a/core/outlier/outlier.go
+++ b/core/outlier/outlier.go
@@ -21,6 +21,9 @@
 	maxEjection   = 10 * time.Second
 	// probeTimeout frees the place of a probe whose end was never told.
 	probeTimeout = 5 * time.Second
+	// unprobedTime is how long an ejected target waits for a probe that can be
+	// repeated before it takes any.
+	unprobedTime = 5 * time.Second
 )
 
 // Group is the set of targets that are ejected from together. It is not safe
@@ -51,18 +54,21 @@
 	good, bad   int
 }
 
-// Takes tells whether t is given work at now. An ejected target takes one probe
-// at a time once its time is over.
-func (t *Target) Takes(now time.Duration) bool {
-	if !t.ejected {
-		return true
-	}
-	return now >= t.until && (!t.probing || now >= t.probedAt+probeTimeout)
-}
-
 // Ejected tells whether t is ejected, whether or not it may be probed.
 func (t *Target) Ejected() bool { return t.ejected }
 
+// ProbeDue tells whether an ejected target is to be given one attempt now: its
+// time is over and no other probe is open. A probe is best an attempt that can be
+// repeated; one that cannot is used only if none such has come for long.
+func (t *Target) ProbeDue(now time.Duration, repeatable bool) bool {
+	due := t.until
+	if !repeatable {
+		due += unprobedTime
+	}
+	open := t.probing && now < t.probedAt+probeTimeout
+	return t.ejected && !open && now >= due
+}
+
 // Started tells that an attempt at t began.
 func (t *Target) Started(now time.Duration) {
 	if t.ejected {
