--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -94,9 +94,11 @@
 	Wait    time.Duration
 	Stage   Stage
 	Class   document.Class
-	Tokens  int
-	Depth   int
-	Send    wire.SendID
+	// Priority is the call's priority within its class.
+	Priority uint16
+	Tokens   int
+	Depth    int
+	Send     wire.SendID
 	// Heard is the latest stamp of the receiver, for CallArrived.Heard.
 	Heard wire.Stamp
 	// Rerun tells that an earlier attempt at the call may have run.
--- a/core/engine/chain_test.go
+++ b/core/engine/chain_test.go
@@ -66,6 +66,12 @@
 	return append([]engine.Action(nil), b.node.Step(b.now, ev)...)
 }
 
+// held is the number of calls that run on the node's upstream or wait for it.
+func (b *bench) held() int {
+	s := b.node.Status()
+	return s.InFlight + s.Queued
+}
+
 func (b *bench) call(key string) (engine.CallID, []engine.Action) {
 	b.calls++
 	return b.calls, b.step(&engine.CallArrived{
@@ -197,15 +203,15 @@
 		t.Fatalf("replies in %s", describe(actions))
 	}
 	next := find[*engine.Dispatch](t, actions)
-	if load := b.node.Load(); load.InFlight != 1 {
-		t.Fatalf("load after the cancel: %+v", load)
+	if held := b.held(); held != 1 {
+		t.Fatalf("load after the cancel: %d", held)
 	}
 	if _, late := b.child(running); find[*engine.ReplyCall](t, late).Reply.Reason != engine.ReasonCancelled {
 		t.Fatalf("a call for an ended dispatch: %s", describe(late))
 	}
 	b.answer(next.Attempt, engine.Reply{Outcome: engine.OutcomeAnswered, Answer: &engine.Answer{}})
-	if load := b.node.Load(); load.InFlight != 0 || waiting == 0 {
-		t.Fatalf("load at the end: %+v", load)
+	if held := b.held(); held != 0 || waiting == 0 {
+		t.Fatalf("load at the end: %d", held)
 	}
 }
 
@@ -218,15 +224,15 @@
 		ID: b.calls, Origin: engine.OriginPeer, Stage: engine.StageRun, Send: send, Wait: time.Second,
 		Request: &engine.Request{Service: "front", Method: "GET", Path: "/front"},
 	})
-	if load := b.node.Load(); load.InFlight != 2 {
-		t.Fatalf("one runs and one waits: %+v", load)
+	if held := b.held(); held != 2 {
+		t.Fatalf("one runs and one waits: %d", held)
 	}
 	actions := b.step(&engine.FrameReceived{From: send.Node, Frame: wire.Frame{Cancel: &wire.Cancel{Send: send}}})
 	if r := find[*engine.ReplyCall](t, actions).Reply; r.Outcome != engine.OutcomeNotRun || r.Reason != engine.ReasonCancelled {
 		t.Fatalf("reply %+v", r)
 	}
-	if load := b.node.Load(); load.InFlight != 1 {
-		t.Fatalf("load after the cancel: %+v", load)
+	if held := b.held(); held != 1 {
+		t.Fatalf("load after the cancel: %d", held)
 	}
 }
 
--- a/core/engine/documents.go
+++ b/core/engine/documents.go
@@ -15,6 +15,7 @@
 		return
 	}
 	n.doc = doc
+	n.levels.forgetRoutes()
 	if n.keys == nil {
 		n.keys = owner.NewTable(owner.Config{
 			Window: doc.ResendWindow, MaxKeys: doc.Answers.Keys, MaxBytes: doc.Answers.Bytes,
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -17,6 +17,7 @@
 	c := a.call
 	reply := ev.Reply
 	n.hear(a, reply)
+	n.learnLevel(a, reply.Load)
 	n.endAttempt(a, resultOf(reply), reply.Tokens)
 	switch reply.Outcome {
 	case OutcomeNotRun:
@@ -32,13 +33,14 @@
 	n.drainQueue()
 }
 
-// hear takes in the load that travelled with an answer.
+// hear takes in the load that travelled with an answer. Its level is that of one
+// route and is learnt elsewhere.
 func (n *Node) hear(a *attempt, reply Reply) {
 	if a.local || reply.Load.Limit == 0 {
 		return
 	}
 	if p := n.view.Peer(a.target); p != nil {
-		p.Load = reply.Load
+		p.Load.InFlight, p.Load.Limit = reply.Load.InFlight, reply.Load.Limit
 	}
 }
 
@@ -91,7 +93,7 @@
 		a.call.launched = true
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
-			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
+			ID: uint64(a.id), Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
 		})
 		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
 	} else {
@@ -153,7 +155,7 @@
 	n.checkPool(&c.pool, c)
 	n.settleAllotment(c, reply.Outcome)
 	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
+	reply.Load = n.loadFor(c.route)
 	n.settleParent(c)
 	n.measureEnd(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -38,12 +39,15 @@
 	cfg Config
 	now time.Duration
 	out []Action
+	// random draws priorities.
+	random *rand.Rand
 
 	doc      *document.Document
 	view     *member.View
 	balancer *balancer.Balancer
 	guard    *admission.Controller
 	keys     *owner.Table
+	levels   levels
 	checker  invariant.Checker
 
 	calls    map[CallID]*call
@@ -77,7 +81,9 @@
 			Seed: cfg.Seed, Self: cfg.Self.Target, DataCentre: cfg.DataCentre,
 			Outliers: cfg.Policy.Outliers, SlowStart: cfg.Policy.SlowStart, Spill: cfg.Policy.Spill,
 		}, now),
-		guard:    admission.New(cfg.Admission),
+		random:   rand.New(rand.NewPCG(cfg.Seed, 2)),
+		guard:    admission.New(cfg.guardConfig()),
+		levels:   newLevels(),
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
@@ -99,6 +105,7 @@
 	switch ev := ev.(type) {
 	case *CallArrived:
 		n.arrive(ev)
+		n.drainQueue()
 	case *CallerGone:
 		n.callerGone(ev.ID)
 	case *AttemptAnswered:
@@ -126,12 +133,3 @@
 
 // Violations returns the broken invariants this node has seen.
 func (n *Node) Violations() *invariant.Checker { return &n.checker }
-
-// Load returns what the node tells others of its upstream.
-func (n *Node) Load() wire.Load {
-	return wire.Load{
-		InFlight: uint32(n.guard.InFlight() + n.guard.Queued()),
-		Limit:    uint32(n.guard.Limit()),
-		Level:    uint16(n.guard.Level()),
-	}
-}
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -173,7 +173,8 @@
 	request := *a.Request
 	ev := &engine.CallArrived{
 		Origin: engine.OriginPeer, Request: &request, Wait: a.Wait, Stage: a.Stage,
-		Class: a.Class, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send, Rerun: a.Rerun, Heard: a.Heard,
+		Class: a.Class, Priority: a.Priority, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send,
+		Rerun: a.Rerun, Heard: a.Heard,
 	}
 	h.w.deliver(h, to, func() {
 		if !to.alive {
