--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -17,8 +17,8 @@
 	}
 	c := a.call
 	reply := ev.Reply
-	n.learnLevel(a, reply.Load)
 	n.hear(a, reply)
+	n.learnLevel(a, reply.Load)
 	n.endAttempt(a, resultOf(reply), reply.Tokens)
 	switch reply.Outcome {
 	case OutcomeNotRun:
@@ -34,13 +34,14 @@
 	n.drainQueue()
 }
 
-// hear takes in the load that travelled with an answer.
+// hear takes in the load that travelled with an answer. Its level is that of one
+// route and is learnt elsewhere.
 func (n *Node) hear(a *attempt, reply Reply) {
 	if a.local || reply.Load.Limit == 0 {
 		return
 	}
 	if p := n.view.Peer(a.target); p != nil {
-		p.Load = reply.Load
+		p.Load.InFlight, p.Load.Limit = reply.Load.InFlight, reply.Load.Limit
 	}
 }
 
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -27,12 +27,21 @@
 // pick chooses the target of the next attempt at c, nil if none takes it.
 func (n *Node) pick(c *call) *member.Peer {
 	o := balancer.Options{Exclude: n.excluded(c), SelfLoad: n.load(n.guard.Level()), Now: n.now}
-	if n.cfg.Policy.Levels {
+	o.Repeatable = c.route.Idempotent && n.affords(c, n.treeSize(c.route))
+	if n.heedsLevels(c) {
 		o.Rank = uint16(n.rankOf(c))
 	}
 	return n.balancer.Pick(c.route.Service, n.view.Service(c.route.Service), o)
 }
 
+// heedsLevels tells whether c is kept from targets that publish a level below
+// its rank. A call from deeper in a chain carries work already done and asks
+// anyway, unless it was refused once.
+func (n *Node) heedsLevels(c *call) bool {
+	entry := c.parent == nil && c.origin != OriginPeer
+	return n.cfg.Policy.Levels && (entry || c.overloads > 0)
+}
+
 // whyNone tells why no target takes c: all that work refuse its rank, or none
 // works.
 func (n *Node) whyNone(c *call) Reason {
