--- a/core/engine/documents.go
+++ b/core/engine/documents.go
@@ -46,6 +46,8 @@
 func (n *Node) documentInForce(d *document.Document) {
 	n.doc = d
 	n.callees = calleesOf(d, n.cfg.Service)
+	n.levels.forgetRoutes()
+	n.guard.SetClasses(n.classes())
 	if n.keys == nil {
 		n.keys = owner.NewTable(owner.Config{
 			Window: d.ResendWindow, MaxKeys: d.Answers.Keys, MaxBytes: d.Answers.Bytes,
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -16,7 +17,9 @@
 	}
 	c := a.call
 	reply := ev.Reply
-	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
+	n.hear(a, reply)
+	n.learnLevel(a, reply.Load)
+	n.endAttempt(a, resultOf(reply), reply.Tokens)
 	switch reply.Outcome {
 	case OutcomeNotRun:
 		n.afterRefusal(c, reply.Reason)
@@ -31,15 +34,33 @@
 	n.drainQueue()
 }
 
-func resultOf(o Outcome) balancer.Result {
-	switch o {
+// hear takes in the load that travelled with an answer. Its level is that of one
+// route and is learnt elsewhere.
+func (n *Node) hear(a *attempt, reply Reply) {
+	if a.local || reply.Load.Limit == 0 {
+		return
+	}
+	if p := n.view.Peer(a.target); p != nil {
+		p.Load.InFlight, p.Load.Limit = reply.Load.InFlight, reply.Load.Limit
+	}
+}
+
+// resultOf is what a reply tells of the target it came from. A target that has
+// no document, or cannot reach its own upstream, does not work.
+func resultOf(r Reply) balancer.Result {
+	switch r.Outcome {
 	case OutcomeAnswered, OutcomeUpstreamError, OutcomeBadRequest:
 		return balancer.ResultOK
 	case OutcomeNotRun:
+		if r.Reason == ReasonNoDocument || r.Reason == ReasonNoTarget {
+			return balancer.ResultFailed
+		}
 		return balancer.ResultRefused
-	default:
+	}
+	if r.Reason == ReasonAttemptLost {
 		return balancer.ResultFailed
 	}
+	return balancer.ResultCancelled
 }
 
 // failed takes the end of an attempt that got no whole answer.
@@ -73,12 +94,13 @@
 		a.call.launched = true
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
-			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
+			ID: uint64(a.id), Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
 		})
 		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
 	} else {
-		n.balancer.Finished(n.now, a.target, r)
+		n.balancer.Finished(n.now, a.target, a.started, r)
 	}
+	a.call.attempted += n.now - a.started
 	n.checker.Check(left <= a.loan, invariant.Violation{
 		Name: invariant.AttemptBudget, Call: uint64(a.call.id), Detail: "more tokens came back than went out",
 	})
@@ -135,7 +157,7 @@
 	n.checkPool(&c.pool, c)
 	n.settleAllotment(c, reply.Outcome)
 	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
+	reply.Load = n.loadFor(c.route)
 	n.settleParent(c)
 	n.measureEnd(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
@@ -145,10 +167,21 @@
 	n.countRefusal(c, reply)
 	n.emit(&Measurement{
 		Metric: MetricCallTime, Class: c.class, Reason: reply.Reason,
-		Group: c.request.Group, Value: n.now - c.arrived, Count: len(c.tried),
+		Group: n.groupOf(c), Value: n.now - c.arrived, Count: len(c.tried),
+	})
+	n.emit(&Measurement{
+		Metric: MetricAddedTime, Class: c.class, Group: n.groupOf(c), Value: n.now - c.arrived - c.attempted,
 	})
 }
 
+// groupOf returns the caller group of c if the document names it.
+func (n *Node) groupOf(c *call) string {
+	if slices.Contains(n.doc.Groups, c.request.Group) {
+		return c.request.Group
+	}
+	return ""
+}
+
 func (n *Node) forget(c *call) {
 	delete(n.calls, c.id)
 	n.deadlines.remove(c)
--- a/core/engine/members.go
+++ b/core/engine/members.go
@@ -38,7 +38,7 @@
 		n.listWait = min(max(2*n.listWait, firstListInterval), maxListInterval)
 		interval = n.listWait
 	}
-	n.listAt = n.now + interval*3/4 + time.Duration(n.random.Int64N(int64(interval/2)))
+	n.listAt = n.now + interval*3/4 + time.Duration(n.spreadOut.Int64N(int64(interval/2)))
 	n.emit(&ReadPlatform{Resource: ResourceMembers})
 }
 
@@ -55,7 +55,7 @@
 	linked := n.view.Linked()
 	for _, m := range n.news[:count] {
 		for range min(newsFanOut, len(linked)) {
-			to := linked[n.random.IntN(len(linked))]
+			to := linked[n.spreadOut.IntN(len(linked))]
 			n.emit(&SendFrame{To: to.ID(), Frame: wire.Frame{Member: m}})
 		}
 	}
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -45,12 +45,15 @@
 	cfg Config
 	now time.Duration
 	out []Action
+	// random draws priorities.
+	random *rand.Rand
 
 	doc      *document.Document
 	view     *member.View
 	balancer *balancer.Balancer
 	guard    *admission.Controller
 	keys     *owner.Table
+	levels   levels
 	checker  invariant.Checker
 
 	calls    map[CallID]*call
@@ -84,18 +87,24 @@
 	// beat goes round the links with the heartbeats.
 	beat int
 	// news are members still to be told of.
-	news   []*wire.Member
-	random *rand.Rand
+	news []*wire.Member
+	// spreadOut draws whom to tell and when to read the platform.
+	spreadOut *rand.Rand
 }
 
 // New returns a node that starts at now.
 func New(cfg Config, now time.Duration) *Node {
 	n := &Node{
-		cfg:      cfg,
-		now:      now,
-		view:     member.NewView(member.Config{Self: cfg.Self, Service: cfg.Service, DataCentre: cfg.DataCentre}),
-		balancer: balancer.New(cfg.Seed),
-		guard:    admission.New(cfg.Admission),
+		cfg:  cfg,
+		now:  now,
+		view: member.NewView(member.Config{Self: cfg.Self, Service: cfg.Service, DataCentre: cfg.DataCentre}),
+		balancer: balancer.New(balancer.Config{
+			Seed: cfg.Seed, Self: cfg.Self.Target, DataCentre: cfg.DataCentre,
+			Outliers: cfg.Policy.Outliers, SlowStart: cfg.Policy.SlowStart, Spill: cfg.Policy.Spill,
+		}, now),
+		random:   rand.New(rand.NewPCG(cfg.Seed, 2)),
+		guard:    admission.New(cfg.guardConfig()),
+		levels:   newLevels(),
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
@@ -104,9 +113,9 @@
 		allotments: budget.NewMemory(maxAllotments),
 		services:   map[string]*serviceState{},
 
-		life:   lifeChart.Start(),
-		state:  wire.NodeStarting,
-		random: rand.New(rand.NewPCG(cfg.Seed, 4)),
+		life:      lifeChart.Start(),
+		state:     wire.NodeStarting,
+		spreadOut: rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
 	n.documents = spread.New(spread.Config{
 		Self: cfg.Self, DataCentre: cfg.DataCentre, Seed: cfg.Seed, Ask: cfg.AskPeers,
@@ -123,6 +132,7 @@
 	switch ev := ev.(type) {
 	case *CallArrived:
 		n.arrive(ev)
+		n.drainQueue()
 	case *CallerGone:
 		n.callerGone(ev.ID)
 	case *AttemptAnswered:
@@ -150,12 +160,3 @@
 
 // Violations returns the broken invariants this node has seen.
 func (n *Node) Violations() *invariant.Checker { return &n.checker }
-
-// Load returns what the node tells others of its upstream.
-func (n *Node) Load() wire.Load {
-	return wire.Load{
-		InFlight: uint32(n.guard.InFlight() + n.guard.Queued()),
-		Limit:    uint32(n.guard.Limit()),
-		Level:    uint16(n.guard.Level()),
-	}
-}
--- a/core/spread/ask.go
+++ b/core/spread/ask.go
@@ -1,11 +1,16 @@
 package spread
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// enoughAnswers is the number of nodes that have to tell their version
 	// before the platform's word counts.
 	enoughAnswers = 3
+	// maxAnswers bounds the nodes that are remembered for their answer.
+	maxAnswers = 64
 	// askLonger stretches the time while a newer version than the platform's
 	// is known to exist.
 	askLonger = 4
@@ -14,9 +19,10 @@
 // asking is what a node that remembers nothing has learnt so far.
 type asking struct {
 	until time.Duration
-	// answered are the nodes that told their version, a few at most; newest is
-	// the highest of these versions.
+	// answered are nodes that told their version, empty those that have no
+	// document; newest is the highest version told.
 	answered []string
+	empty    []string
 	newest   uint64
 	// version and text are the platform's word; text is nil until it came.
 	version uint64
@@ -31,18 +37,26 @@
 }
 
 // answer notes that a node told its version. Nodes without a document remember
-// as little as this one, so they do not count.
+// as little as this one; they count only when all others are like that.
 func (a *asking) answer(target string, version uint64) {
 	a.newest = max(a.newest, version)
-	if version == 0 || len(a.answered) >= enoughAnswers {
-		return
+	list := &a.answered
+	if version == 0 {
+		list = &a.empty
+	}
+	if len(*list) < maxAnswers && !slices.Contains(*list, target) {
+		*list = append(*list, target)
 	}
-	for _, t := range a.answered {
-		if t == target {
-			return
-		}
+}
+
+// complete tells whether enough nodes answered, of a fleet of others beside
+// this one.
+func (a *asking) complete(others int) bool {
+	told := len(a.answered)
+	if told > 0 && told >= min(enoughAnswers, others) {
+		return true
 	}
-	a.answered = append(a.answered, target)
+	return others > 0 && told+len(a.empty) >= others
 }
 
 // checkAsking ends the asking once enough nodes answered, or in time.
@@ -57,7 +71,7 @@
 		until += (askLonger - 1) * s.cfg.Ask
 	}
 	switch {
-	case len(a.answered) >= min(enoughAnswers, s.view.Size()-1) && len(a.answered) > 0 && !behind:
+	case !behind && a.complete(s.view.Size()-1):
 		s.fire(eventPeersAnswered)
 	case s.now >= until:
 		s.fire(eventAskExpired)
