--- /dev/null
+++ b/harness/cmd/harness/spread.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/shallotspool/shallotspool/harness/spread"
+)
+
+func spreadCommand() *ffcli.Command {
+	o := spread.Options{Seed: 1}
+	flags := flag.NewFlagSet("spread", flag.ContinueOnError)
+	flags.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the fleets")
+	nodes := flags.String("nodes", "30,100,300,1000", "sizes of the fleets")
+	return &ffcli.Command{
+		Name: "spread", ShortUsage: "harness spread [flags]", FlagSet: flags,
+		ShortHelp: "measure the control plane and the spreading of documents in fleets of several sizes",
+		Exec: func(context.Context, []string) error {
+			for _, field := range strings.Split(*nodes, ",") {
+				n, err := strconv.Atoi(field)
+				if err != nil || n < 1 {
+					return fmt.Errorf("flag -nodes: %q is not a number of nodes", field)
+				}
+				o.Nodes = append(o.Nodes, n)
+			}
+			return spread.All(o, os.Stdout, os.Stderr)
+		},
+	}
+}
