Drain without cuts, and measure drain and stale_config

Cause: a leaving node refused everything at once, also entry calls that it could pass on, and nothing measured graceful stops or a stale platform. The fakes count calls open at a graceful stop.

--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -44,7 +44,7 @@
 	if n.doc == nil {
 		return ReasonNoDocument
 	}
-	if n.refusesNew(c.origin) {
+	if n.refusesNew(c) {
 		return ReasonLeaving
 	}
 	if len(n.calls) >= n.cfg.MaxCalls {
--- a/core/engine/lifecycle.go
+++ b/core/engine/lifecycle.go
@@ -73,14 +73,21 @@
 // and what is in flight completes.
 func (n *Node) stop() { n.live(lifeStopRequested) }
 
-// refusesNew tells whether a call that came in this way is refused because the
-// node is leaving. The own upstream may always call: what it works on has to
-// complete.
-func (n *Node) refusesNew(origin Origin) bool {
-	if n.state < wire.NodeLeaving || origin == OriginUpstream {
+// refusesNew tells whether c is refused because the node is leaving. The own
+// upstream may always call: what it works on has to complete. What others sent
+// to be run here is taken until they can know. Everything else still passes on
+// to other nodes until the node is about to stop.
+func (n *Node) refusesNew(c *call) bool {
+	since := n.now - n.leavingSince
+	switch {
+	case n.state < wire.NodeLeaving || c.origin == OriginUpstream:
 		return false
+	case n.state == wire.NodeLeft:
+		return true
+	case c.origin == OriginPeer && c.stage == StageRun:
+		return since >= leavingGrace
 	}
-	return n.state == wire.NodeLeft || n.now-n.leavingSince >= leavingGrace
+	return since >= leavingLinger
 }
 
 // checkDrain ends the drain once nothing is in flight.
--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -42,7 +42,8 @@
 			}
 		}
 	}
-	return append(specs, lossSpecs(seeds)...)
+	specs = append(specs, lossSpecs(seeds)...)
+	return append(specs, controlSpecs(seeds)...)
 }
 
 // All runs what o takes and prints its lines to out, and progress to progress.
--- a/harness/measure/run.go
+++ b/harness/measure/run.go
@@ -102,6 +102,7 @@
 	r := Result{Spec: spec, Depth: d.depth, Offered: offered, DoubleRuns: s.DoubleRuns, Mixed: s.Mixed}
 	r.MaxAttempts, r.AttemptBudget = s.Attempts.Max, s.Attempts.MaxBudget
 	r.Goodput = min(1, float64(answered)/possible)
+	r.CutInFlight = s.Cut
 	r.Recovery = recovery(s)
 	r.ImportantRefuse, r.OtherRefuse = refusedRatios(w, d)
 	if s.Worked > 0 {
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -61,6 +61,12 @@
 	h.tick(h.incarnation)
 }
 
+// DataCentre returns where the instance stands.
+func (h *Host) DataCentre() string { return h.centre }
+
+// Alive tells whether the node runs.
+func (h *Host) Alive() bool { return h.alive }
+
 // Kill ends the node and its upstream at once.
 func (h *Host) Kill() {
 	h.alive = false
@@ -155,7 +161,8 @@
 	case *engine.ReadPlatform:
 		h.read(a.Resource)
 	case *engine.Stopped:
-		h.alive = false
+		h.w.Stats.Cut += len(h.waiting) + len(h.Upstream.jobs)
+		h.Kill()
 	}
 }
 
@@ -242,8 +249,8 @@
 	h.w.After(2*time.Millisecond, func() {
 		if r == engine.ResourceMembers {
 			h.stepAs(incarnation, &engine.MembersSeen{List: h.w.members})
-			return
+		} else if text := h.w.Published(h); text != nil {
+			h.stepAs(incarnation, &engine.DocumentSeen{Text: text})
 		}
-		h.stepAs(incarnation, &engine.DocumentSeen{Version: h.w.Doc.Version, Text: h.w.text})
 	})
 }
--- a/harness/sim/stats.go
+++ b/harness/sim/stats.go
@@ -24,6 +24,8 @@
 	RefusedBy  map[document.Class][]int
 	Mixed      int
 	DoubleRuns int
+	// Cut counts the calls that were open when their node stopped gracefully.
+	Cut int
 	// Worked is upstream time on all requests, Useful that on whole answers for
 	// requests whose callers got theirs in time.
 	Worked time.Duration
--- a/harness/sim/world.go
+++ b/harness/sim/world.go
@@ -69,11 +69,12 @@
 	Doc    *document.Document
 	// Cut tells which pairs of data centres have no connection.
 	Cut func(a, b string) bool
+	// Published gives the text that the platform shows a node, nil for none.
+	Published func(h *Host) []byte
 	// Loss is the share of messages between nodes that are lost.
 	Loss float64
 
 	setup   Setup
-	text    []byte
 	now     time.Duration
 	seq     uint64
 	timers  timerHeap
@@ -88,9 +89,10 @@
 		return nil, err
 	}
 	w := &World{
-		Random: rand.New(rand.NewPCG(s.Seed, 1)), Doc: doc, setup: s, text: s.Document,
+		Random: rand.New(rand.NewPCG(s.Seed, 1)), Doc: doc, setup: s,
 		byName: map[string]*Host{}, Cut: func(a, b string) bool { return false },
 	}
+	w.Published = func(*Host) []byte { return s.Document }
 	w.Stats.init()
 	for _, service := range doc.Services {
 		for i := 1; i <= service.Targets; i++ {
