Tell the slots from the queue inside the upstream

Cause: a limit that had overshot stayed up while levels kept calls away from it: it moved only when reached, and light runs below it were not light.

Change: queueing inside the upstream at any number in flight tells the slots; light runs are those below two fifths of the limit; falls are taken whole.

--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -6,23 +6,25 @@
 	// windowSamples is the number of runs one step of the limit is judged by.
 	windowSamples = 60
 	// headroom is what the limit keeps above the slots it estimates.
-	headroom = 1.2
+	headroom = 1.25
 	// growth and shrink bound one step of the limit.
 	growth = 1.4
-	shrink = 0.8
-	// firstFall is the own time, in baselines, that ends the fast growth at the
-	// start.
-	firstFall = 1.5
+	shrink = 0.7
+	// insideShare is the share of the runs queueing inside the upstream above
+	// which their number tells its slots.
+	insideShare = 0.3
 	// doubt is the factor of a fall that a dip checks first.
 	doubt = 0.8
 	// lightShare is the share of the limit below which a run certainly met no
-	// queue inside the upstream, once the limit is near the slots.
-	lightShare = 0.6
+	// queue inside the upstream, also when the limit is far too high, and dipShare
+	// the one it dips to, below the slots when the limit is near them.
+	lightShare = 0.4
+	dipShare   = 0.6
 	// baseSamples is the memory of the baseline, in runs.
 	baseSamples = 100
 	// baseJump is the factor between a window of light runs and the baseline at
 	// which the window replaces it.
-	baseJump = 1.3
+	baseJump = 1.25
 	// baseSlack is the most that the baseline is above the own time of any window.
 	baseSlack = 1.15
 	// dipInterval is the time between two dips while the limit is reached.
@@ -31,7 +33,7 @@
 	// suspected fall asks for.
 	dipPause = 400 * time.Millisecond
 	// dipSamples is the number of light runs that end a dip.
-	dipSamples = 30
+	dipSamples = 50
 	// maxDip ends a dip that finds no runs.
 	maxDip = time.Second
 )
@@ -90,14 +92,18 @@
 // current returns the number of calls that may run at once now.
 func (l *limiter) current() int {
 	if l.dipping {
-		return max(int(l.limit*lightShare), l.cfg.Min)
+		return max(int(l.limit*dipShare), l.cfg.Min)
 	}
 	return int(l.limit)
 }
 
 // isLight tells whether a run that makes inFlight calls run is a light one.
 func (l *limiter) isLight(inFlight int) bool {
-	return float64(inFlight) <= max(l.limit*lightShare, float64(l.cfg.Min))
+	share := lightShare
+	if l.dipping {
+		share = dipShare
+	}
+	return float64(inFlight) <= max(l.limit*share, float64(l.cfg.Min))
 }
 
 // started takes in a run that makes inFlight calls run.
@@ -143,14 +149,14 @@
 	l.baseRuns++
 	weight := 1 / float64(min(l.baseRuns, baseSamples))
 	l.base += weight * (own.Seconds() - l.base)
-	if l.light.count < windowSamples {
+	if l.light.count < dipSamples {
 		return
 	}
 	mean := l.light.mean()
 	l.light = window{}
 	if mean > l.base*baseJump || mean < l.base/baseJump {
 		l.base = mean
-		l.baseRuns = windowSamples
+		l.baseRuns = dipSamples
 	}
 }
 
@@ -160,28 +166,40 @@
 	l.window, l.total, l.reached = window{}, 0, false
 	l.own = w.mean()
 	l.base = min(l.base, l.own*baseSlack)
-	if l.dipping || !reached {
+	if l.dipping {
 		return
 	}
 	rate := float64(w.count-1) / (now - w.began).Seconds()
-	inside := max(0, rate*(l.own-l.base))
-	target := headroom*(l.limit-inside) + 1
-	if !l.settledOnce {
-		l.settledOnce = l.own > firstFall*l.base
-		target = l.limit * growth
+	target, known := l.target(rate, rate*total, reached)
+	if !known {
+		return
 	}
 	if target < l.limit*doubt && l.dipDue(now, dipPause) {
 		l.dip(now)
 		return
 	}
-	if l.settledOnce {
-		target = (target + l.limit) / 2
-	}
 	next := min(max(target, l.limit*shrink), l.limit*growth)
 	l.limit = min(max(next, float64(l.cfg.Min)), float64(l.cfg.Max))
 	l.settled = now + seconds(total)
 }
 
+// target returns where the limit should be, for an upstream that completed rate
+// runs per second while inFlight were running; known is false when that does not
+// tell.
+func (l *limiter) target(rate, inFlight float64, reached bool) (target float64, known bool) {
+	inside := max(0, rate*(l.own-l.base))
+	switch {
+	case inside > insideShare*inFlight:
+		l.settledOnce = true
+		return headroom*(min(l.limit, inFlight)-inside) + 1, true
+	case !reached:
+		return 0, false
+	case !l.settledOnce:
+		return l.limit * growth, true
+	}
+	return (l.limit + headroom*(l.limit-inside) + 1) / 2, true
+}
+
 func (l *limiter) dipDue(now, pause time.Duration) bool { return now-l.dipEnded >= pause }
 
 func (l *limiter) dip(now time.Duration) {
--- a/core/engine/documents.go
+++ b/core/engine/documents.go
@@ -17,7 +17,6 @@
 	n.doc = doc
 	n.levels.forgetRoutes()
 	n.guard.SetClasses(n.classes())
-	n.levels.forgetRoutes()
 	if n.keys == nil {
 		n.keys = owner.NewTable(owner.Config{
 			Window: doc.ResendWindow, MaxKeys: doc.Answers.Keys, MaxBytes: doc.Answers.Bytes,
