--- a/harness/measure/deployment.go
+++ b/harness/measure/deployment.go
@@ -19,6 +19,14 @@
 	capacity float64
 	// important is the share of demand that goes to writes.
 	important float64
+	// chain names the services from the entry of reads to the deepest one, each
+	// of which has this many targets.
+	chain   []string
+	targets int
+	// depth is the length of the longest chain of calls; parallel upstreams make
+	// their calls at once.
+	depth    int
+	parallel bool
 }
 
 // The mean times an upstream works on a request itself. All chains end in the
@@ -37,6 +45,7 @@
 			"reservo": {Slots: 190, Time: frontTime}, "shopxfer": {Slots: 25, Time: deepTime},
 		},
 		capacity: 3 * 25 / deepTime.Seconds(), important: 0.05,
+		chain: []string{"pullreg", "arrivo", "reservo", "shopxfer"}, targets: 3, depth: 4,
 	},
 	"charter": {
 		name: "charter", document: "charter.yaml", centres: 4, reads: "calendar.trips", writes: "bookings.book",
@@ -45,5 +54,6 @@
 			"bookings": {Slots: 55, Time: frontTime}, "crewing": {Slots: 16, Time: deepTime},
 		},
 		capacity: 4 * 16 / deepTime.Seconds(), important: 0.05,
+		chain: []string{"calendar", "conditions", "bookings", "crewing"}, targets: 4, depth: 4,
 	},
 }
