Weigh levels by where the calls go

Cause: entries took the plain mean over all targets of a service; those that got no calls went stale and pulled the mean up, so the level told never held.

Change: each answer adds to the weight of its target, weights fade; a level goes stale only when no target answers.

--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -59,6 +59,7 @@
 	c := a.call
 	a.waiting = false
 	a.started = n.now
+	n.levels.tell(n.now, levelKey{n.cfg.Self.Target, c.route.Name}, n.guard.Level())
 	a.pool = budget.NewPool(c.pool.LendAll())
 	a.loan = a.pool.Free()
 	n.emit(&Measurement{Metric: MetricQueueTime, Class: c.class, Value: n.now - c.arrived})
--- a/core/engine/levels.go
+++ b/core/engine/levels.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -11,6 +12,10 @@
 const (
 	// levelFresh is how long a level counts as it was told.
 	levelFresh = 500 * time.Millisecond
+	// levelMemory is the time in which an answer's weight fades to a third.
+	levelMemory = 250 * time.Millisecond
+	// maxTold bounds the levels remembered.
+	maxTold = 1 << 14
 	// levelDrift is the ranks per second by which a stale level rises: with no
 	// news the pressure may be gone.
 	levelDrift = 2 * admission.Priorities
@@ -34,7 +39,9 @@
 
 type toldLevel struct {
 	level admission.Rank
-	at    time.Duration
+	// answers is the weight of the target at the time at.
+	answers float64
+	at      time.Duration
 }
 
 type cachedLevel struct {
@@ -51,13 +58,23 @@
 
 // learnLevel takes in the level that came with an answer.
 func (n *Node) learnLevel(a *attempt, load wire.Load) {
-	if a.local {
-		return
+	if !a.local {
+		n.levels.tell(n.now, levelKey{a.target, a.call.route.Name}, admission.Rank(load.Level))
 	}
-	if p := n.view.Peer(a.target); p != nil && load.Limit > 0 {
-		p.Load.InFlight, p.Load.Limit = load.InFlight, load.Limit
+}
+
+// tell takes in a level; each one adds to the weight of its target.
+func (l *levels) tell(now time.Duration, key levelKey, level admission.Rank) {
+	if len(l.told) >= maxTold {
+		clear(l.told)
 	}
-	n.levels.told[levelKey{a.target, a.call.route.Name}] = toldLevel{admission.Rank(load.Level), n.now}
+	l.told[key] = toldLevel{level, l.told[key].weight(now) + 1, now}
+}
+
+// weight is the share of recent calls that went to a target: the number of its
+// answers, each fading with time.
+func (t toldLevel) weight(now time.Duration) float64 {
+	return t.answers * math.Exp(-(now - t.at).Seconds()/levelMemory.Seconds())
 }
 
 // refusedAtEntry tells whether c would be refused somewhere in its call tree.
@@ -71,34 +88,45 @@
 }
 
 // routeLevel returns the level of a route over all targets of its service: the
-// balancer spreads calls evenly, so it is the mean of theirs.
+// mean of theirs, weighted by the calls that go to each.
 func (n *Node) routeLevel(r *document.Route, depth int) admission.Rank {
 	if c, ok := n.levels.cached[r]; ok && n.now < c.until {
 		return c.level
 	}
 	worst := admission.RankOf(uint8(n.classes()-1), admission.Priorities-1)
-	sum, count := 0, 0
+	sum, weights, heard := 0.0, 0.0, time.Duration(0)
 	for _, p := range n.view.Service(r.Service) {
-		if !p.Takes() {
+		told, ok := n.levels.told[levelKey{p.Target, r.Name}]
+		if !ok || !p.Takes() {
 			continue
 		}
-		count++
-		level := admission.RankAll
 		if p.Target == n.cfg.Self.Target {
-			level = n.ownLevel(r, depth)
-		} else {
-			level = n.toldLevel(p.Target, r, p.Load)
+			told.level = n.ownLevel(r, depth)
 		}
-		sum += int(min(level, worst))
+		weight := told.weight(n.now)
+		sum += weight * float64(min(told.level, worst))
+		weights += weight
+		heard = max(heard, told.at)
 	}
 	level := admission.RankAll
-	if count > 0 && sum < count*int(worst) {
-		level = admission.Rank(sum / count)
+	if weights > 0 {
+		level = n.drifted(sum/weights, heard, worst)
 	}
 	n.levels.cached[r] = cachedLevel{level, n.now + levelCache}
 	return level
 }
 
+// drifted is a mean level that was last heard of at heard; the highest one there
+// is admits everything.
+func (n *Node) drifted(mean float64, heard time.Duration, worst admission.Rank) admission.Rank {
+	stale := max(0, n.now-heard-levelFresh)
+	mean += stale.Seconds() * levelDrift
+	if mean >= float64(worst) {
+		return admission.RankAll
+	}
+	return admission.Rank(mean)
+}
+
 // ownLevel returns the level of a route on this node: that of its upstream and
 // of every route called from there.
 func (n *Node) ownLevel(r *document.Route, depth int) admission.Rank {
@@ -114,24 +142,6 @@
 	return level
 }
 
-// toldLevel returns what another node last said of a route, or of its upstream
-// as a whole when it never answered for the route.
-func (n *Node) toldLevel(target string, r *document.Route, load wire.Load) admission.Rank {
-	told, ok := n.levels.told[levelKey{target, r.Name}]
-	if !ok {
-		if load.Limit == 0 {
-			return admission.RankAll
-		}
-		return admission.Rank(load.Level)
-	}
-	stale := n.now - told.at - levelFresh
-	if stale <= 0 {
-		return told.level
-	}
-	drifted := int(told.level) + int(stale.Seconds()*levelDrift)
-	return admission.Rank(min(drifted, int(admission.RankAll)))
-}
-
 // load returns what the node tells others of its upstream.
 func (n *Node) load(level admission.Rank) wire.Load {
 	return wire.Load{
