Lend each call its share, and never repeat a failed write

Cause: a call that is the only one its route makes got half of the tokens.

Change: shares follow the number of calls the route still has to make. An error repeats only what may be repeated.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -35,10 +35,11 @@
 // LendAll hands out every token in hand: the receiver is the only one at work.
 func (p *Pool) LendAll() int { return p.lend(p.free) }
 
-// LendShare hands out half of the tokens in hand, rounded up, because another
-// call may yet be made beside this one; but at least need, if there are so many.
-func (p *Pool) LendShare(need int) int {
-	return p.lend(min(max((p.free+1)/2, need), p.free))
+// LendShare hands out an equal share of the tokens in hand, rounded up, to the
+// first of calls that are yet to be made; but at least need, if there are so many.
+func (p *Pool) LendShare(calls, need int) int {
+	calls = max(calls, 1)
+	return p.lend(min(max((p.free+calls-1)/calls, need), p.free))
 }
 
 // LendFor hands out tokens for an attempt at a call whose tree holds size
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -54,7 +54,7 @@
 	case 0:
 		return pool.LendAll()
 	case 1:
-		return pool.LendShare(rapid.IntRange(0, 5).Draw(t, "need"))
+		return pool.LendShare(rapid.IntRange(0, 4).Draw(t, "calls"), rapid.IntRange(0, 5).Draw(t, "need"))
 	}
 	return pool.LendFor(rapid.IntRange(1, 5).Draw(t, "size"))
 }
--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -133,7 +133,7 @@
 		c.deadline = min(c.deadline, parent.call.deadline)
 	}
 	c.again, c.rerun = parent.call.rerun, parent.call.rerun
-	c.loan = parent.pool.LendShare(n.firstCost(c))
+	c.loan = parent.pool.LendShare(len(parent.call.route.Calls)-parent.made, n.firstCost(c))
 	c.pool = budget.NewPool(c.loan)
 	parent.childStarted(n.now, c)
 }
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -69,6 +69,8 @@
 	loan int
 	// pool holds the tokens for calls the own upstream makes meanwhile.
 	pool budget.Pool
+	// made counts the calls that the own upstream made meanwhile.
+	made int
 	// children are the open calls of the own upstream, childSince is when the
 	// first of them began, and childTime is the time at least one was open.
 	children   []*call
@@ -86,6 +88,7 @@
 		a.childSince = now
 	}
 	a.children = append(a.children, child)
+	a.made++
 }
 
 func (a *attempt) childEnded(now time.Duration, child *call) {
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -118,9 +118,8 @@
 
 // afterLoss goes on with a call whose last attempt may have run.
 func (n *Node) afterLoss(c *call) {
-	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership
 	c.rerun = true
-	if repeatable && n.retry(c, n.treeSize(c.route)) {
+	if n.repeatable(c) && n.retry(c, n.treeSize(c.route)) {
 		return
 	}
 	n.end(c, Reply{Outcome: OutcomeUnknown, Reason: ReasonAttemptLost})
@@ -129,7 +128,7 @@
 // afterError goes on with a call that an upstream failed. A node that is not
 // bound by a budget repeats it, as clients of plain proxies do.
 func (n *Node) afterError(c *call, reply Reply) {
-	if !n.cfg.Policy.Budget && n.retry(c, 1) {
+	if !n.cfg.Policy.Budget && n.repeatable(c) && n.retry(c, 1) {
 		return
 	}
 	n.end(c, reply)
--- a/core/engine/retry.go
+++ b/core/engine/retry.go
@@ -94,6 +94,11 @@
 	return c.overloads < maxOverloadRefusals && c.deadline-n.now >= n.service(c.route.Service).latency
 }
 
+// repeatable tells whether c may be tried again although it may have run.
+func (n *Node) repeatable(c *call) bool {
+	return c.route.Idempotent || !n.cfg.Policy.Ownership
+}
+
 // mustOwn tells whether c belongs to the owner of its key, which has not let it
 // run here.
 func (n *Node) mustOwn(c *call) bool {
