Let any case run with one mechanism left out

Cause: ablations existed only where a case listed them.

Change: harness measure -policy full-<mechanism> takes every run of policy full and leaves the mechanism out.

--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"strings"
 
 	"github.com/sourcegraph/conc/iter"
 )
@@ -23,6 +24,15 @@
 		(o.Deployment == "" || o.Deployment == s.Deployment)
 }
 
+// ablate turns a run of policy full into one of the ablation that o asks for, so
+// that any mechanism can be left out of any case.
+func (o Options) ablate(s Spec) Spec {
+	if strings.HasPrefix(o.Policy, ablation) && s.Policy == "full" {
+		s.Policy = o.Policy
+	}
+	return s
+}
+
 func (o Options) seeds() []uint64 {
 	if o.Seed != 0 {
 		return []uint64{o.Seed}
@@ -48,8 +58,11 @@
 // All runs what o takes and prints its lines to out, and progress to progress.
 func All(examples string, o Options, out, progress io.Writer) error {
 	var specs []Spec
+	seen := map[Spec]bool{}
 	for _, s := range Specs(o.seeds()) {
-		if o.takes(s) {
+		s = o.ablate(s)
+		if o.takes(s) && !seen[s] {
+			seen[s] = true
 			specs = append(specs, s)
 		}
 	}
--- a/harness/measure/case.go
+++ b/harness/measure/case.go
@@ -67,6 +67,9 @@
 	tail         = end + 6*time.Second
 )
 
+// ablation begins the names of the policies that are full less one mechanism.
+const ablation = "full-"
+
 // policyOf returns the named policy.
 func policyOf(name string) (engine.Policy, error) {
 	switch name {
@@ -77,7 +80,7 @@
 	case "full":
 		return engine.Full(), nil
 	}
-	if mechanism, ok := strings.CutPrefix(name, "full-"); ok {
+	if mechanism, ok := strings.CutPrefix(name, ablation); ok {
 		if p, ok := engine.Full().Without(mechanism); ok {
 			return p, nil
 		}
