Print what an admission and a routing decision cost

Cause: make bench printed nothing.

Change: harness bench runs a list of functions; the first prints the cost of a decision of admission and of routing among 4,300 targets.

--- /dev/null
+++ b/harness/bench/decisions.go
@@ -0,0 +1,82 @@
+// Package bench prints what a node's decisions cost. The figures hold for the
+// machine and the moment of the run.
+package bench
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/admission"
+	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/member"
+	"github.com/shallotspool/shallotspool/core/wire"
+)
+
+// fleetSize is the number of targets a node knows in the largest fleet.
+const fleetSize = 4300
+
+// Decisions prints the cost of one decision of admission and of routing.
+func Decisions(out io.Writer) error {
+	for _, d := range []struct {
+		name string
+		run  func(*testing.B)
+	}{
+		{"admission_decision", admissionDecision},
+		{fmt.Sprintf("routing_decision targets=%d", fleetSize), routingDecision},
+	} {
+		r := testing.Benchmark(d.run)
+		_, err := fmt.Fprintf(out, "bench=%s ns_per_op=%d allocs_per_op=%d\n", d.name, r.NsPerOp(), r.AllocsPerOp())
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// admissionDecision lets one call in and out again.
+func admissionDecision(b *testing.B) {
+	guard := admission.New(admission.Config{
+		Initial: 100, Min: 1, Max: 1000, MaxQueue: 1000, Adaptive: true, Ranked: true, Timed: true,
+	})
+	b.ReportAllocs()
+	now := time.Duration(0)
+	for i := uint64(1); b.Loop(); i++ {
+		now += time.Microsecond
+		guard.Offer(now, admission.Item{ID: i, Deadline: now + time.Second})
+		guard.Done(now, admission.Sample{ID: i, Own: time.Millisecond, OK: true})
+	}
+}
+
+// routingDecision chooses one of all targets of a fleet, as if they belonged to
+// one service, and sees the attempt end.
+func routingDecision(b *testing.B) {
+	peers := fleet()
+	balance := balancer.New(balancer.Config{
+		Seed: 1, Self: "caller-1", DataCentre: "dc1", Outliers: true, SlowStart: true, Spill: true,
+	}, 0)
+	b.ReportAllocs()
+	now := time.Minute
+	for b.Loop() {
+		now += time.Microsecond
+		p := balance.Pick("service", peers, balancer.Options{Now: now, Repeatable: true})
+		balance.Started(now, p.Target)
+		balance.Finished(now, p.Target, now, balancer.ResultOK)
+	}
+}
+
+func fleet() []*member.Peer {
+	const centres = 14
+	var peers []*member.Peer
+	for i := range fleetSize {
+		peers = append(peers, &member.Peer{
+			Instance: member.Instance{
+				Target: fmt.Sprintf("service-%d", i), Service: "service", DataCentre: fmt.Sprintf("dc%d", i%centres),
+			},
+			Incarnation: 1, State: wire.NodeServing, Linked: true,
+			Load: wire.Load{InFlight: uint32(i % 30), Limit: 40, Level: uint16(admission.RankAll)},
+		})
+	}
+	return peers
+}
