Let the runtime parse documents apart from the engine

Change: with Config.CheckApart the engine asks by CheckDocument and takes the result as DocumentChecked; what came into force meanwhile still counts. The rapid run of the version order draws both ways. Conclusion: a daemon should set CheckApart and run document.Parse in a goroutine.

--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -139,6 +139,13 @@
 // ReadPlatform asks for one read; the result comes back as an event.
 type ReadPlatform struct{ Resource Resource }
 
+// CheckDocument asks for document.Parse of Text off the engine's own thread; the
+// result comes back as DocumentChecked.
+type CheckDocument struct {
+	Version document.Version
+	Text    []byte
+}
+
 // Log asks for one log line.
 type Log struct {
 	Level   LogLevel
@@ -195,6 +202,7 @@
 func (*OpenLink) action()      {}
 func (*CloseLink) action()     {}
 func (*ReadPlatform) action()  {}
+func (*CheckDocument) action() {}
 func (*Log) action()           {}
 func (*Measurement) action()   {}
 func (*Stopped) action()       {}
--- a/core/engine/documents.go
+++ b/core/engine/documents.go
@@ -24,6 +24,13 @@
 	r.n.emit(&ReadPlatform{Resource: ResourceDocument})
 }
 
+func (r documentRuntime) Check(version uint64, text []byte) bool {
+	if r.n.cfg.CheckApart {
+		r.n.emit(&CheckDocument{Version: document.Version(version), Text: text})
+	}
+	return r.n.cfg.CheckApart
+}
+
 func (r documentRuntime) InForce(d *document.Document) { r.n.documentInForce(d) }
 
 func (r documentRuntime) Refused(version uint64, reason string) {
@@ -42,6 +49,11 @@
 	n.documents.PlatformRead(n.now, uint64(ev.Version), ev.Text)
 }
 
+// documentChecked takes the result of a CheckDocument.
+func (n *Node) documentChecked(ev *DocumentChecked) {
+	n.documents.Checked(n.now, uint64(ev.Version), ev.Text, ev.Document, ev.Err)
+}
+
 // documentInForce follows a document that came into force.
 func (n *Node) documentInForce(d *document.Document) {
 	n.doc = d
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -138,6 +138,15 @@
 	Text    []byte
 }
 
+// DocumentChecked is what document.Parse gave for the Text of a CheckDocument,
+// whose Version and Text it repeats.
+type DocumentChecked struct {
+	Version  document.Version
+	Text     []byte
+	Document *document.Document
+	Err      error
+}
+
 // MembersSeen is the platform's list of instances.
 type MembersSeen struct{ List []member.Instance }
 
@@ -161,6 +170,7 @@
 func (*FrameReceived) event()   {}
 func (*LinkChanged) event()     {}
 func (*DocumentSeen) event()    {}
+func (*DocumentChecked) event() {}
 func (*MembersSeen) event()     {}
 func (*HealthSeen) event()      {}
 func (*UpstreamCrashed) event() {}
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -36,6 +36,9 @@
 	// it takes the platform's word; 0 means that it asks nobody. A daemon uses
 	// spread.DefaultAsk.
 	AskPeers time.Duration
+	// CheckApart tells that the runtime carries out CheckDocument; otherwise
+	// documents are parsed within Step.
+	CheckApart bool
 	// MaxCalls is the number of calls the node holds at once.
 	MaxCalls int
 }
@@ -145,6 +148,8 @@
 		n.linkChanged(ev)
 	case *DocumentSeen:
 		n.documentSeen(ev)
+	case *DocumentChecked:
+		n.documentChecked(ev)
 	case *MembersSeen:
 		n.membersSeen(ev)
 	case *Tick:
--- a/core/spread/fleet_test.go
+++ b/core/spread/fleet_test.go
@@ -33,6 +33,8 @@
 	flying   []flight
 	reads    int
 	log      []string
+	// checkApart lets texts be parsed elsewhere; the result takes a step.
+	checkApart bool
 }
 
 type flight struct {
@@ -49,6 +51,12 @@
 	checker invariant.Checker
 	history []uint64
 	alone   bool
+	checks  []check
+}
+
+type check struct {
+	version uint64
+	text    []byte
 }
 
 func text(version uint64, note string) []byte {
@@ -87,6 +95,7 @@
 // start begins a run that remembers nothing.
 func (n *node) start() {
 	n.id.Incarnation++
+	n.checks = nil
 	n.alive, n.history, n.checker = true, nil, invariant.Checker{}
 	n.view = member.NewView(member.Config{Self: n.id, Service: "desk", DataCentre: n.centre()})
 	n.spread = spread.New(spread.Config{
@@ -112,6 +121,24 @@
 	}
 }
 
+func (n *node) Check(version uint64, text []byte) bool {
+	if !n.f.checkApart {
+		return false
+	}
+	n.checks = append(n.checks, check{version, text})
+	return true
+}
+
+// finishChecks gives the results of the texts that were to be parsed elsewhere.
+func (n *node) finishChecks() {
+	checks := n.checks
+	n.checks = nil
+	for _, c := range checks {
+		doc, err := document.Parse(c.text)
+		n.spread.Checked(n.f.now, c.version, c.text, doc, err)
+	}
+}
+
 func (n *node) InForce(d *document.Document) { n.history = append(n.history, uint64(d.Version)) }
 
 func (n *node) Refused(uint64, string) {}
@@ -138,6 +165,7 @@
 		}
 		for _, n := range f.nodes {
 			if n.alive {
+				n.finishChecks()
 				n.view.Tick(f.now)
 				n.spread.Tick(f.now)
 			}
--- a/core/spread/peers.go
+++ b/core/spread/peers.go
@@ -53,7 +53,7 @@
 // pullFrom asks p for its text, unless another pull is still open.
 func (s *Spread) pullFrom(p *member.Peer, version uint64) {
 	open := s.pull.version != 0 && s.now-s.pull.at < pullAgain
-	if open && version <= s.pull.version {
+	if open && version <= s.pull.version || s.check.covers(s.now, version) {
 		return
 	}
 	s.pull = pulling{version: version, at: s.now}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -28,6 +28,10 @@
 	Send(to wire.NodeID, f wire.Frame)
 	// ReadDocument asks for one read of the platform.
 	ReadDocument()
+	// Check asks for a text to be parsed elsewhere, for a long one takes longer
+	// than a call may wait; Checked takes the result. It returns false when it
+	// has to be parsed here and now.
+	Check(version uint64, text []byte) bool
 	// InForce is called with each document that comes into force.
 	InForce(d *document.Document)
 	// Refused is called when a document is refused.
@@ -61,6 +65,7 @@
 	text []byte
 	hash uint64
 
+	check   checking
 	ask     asking
 	pull    pulling
 	refused refusal
@@ -151,7 +156,19 @@
 		s.refused.renew(s.now)
 		return
 	}
+	if s.check.open(s.now, hash) {
+		return
+	}
+	if s.rt.Check(version, text) {
+		s.check = checking{hash: hash, version: version, at: s.now}
+		return
+	}
 	doc, err := document.Parse(text)
+	s.judge(version, text, hash, doc, err)
+}
+
+// judge takes what the parsing of a text gave.
+func (s *Spread) judge(version uint64, text []byte, hash uint64, doc *document.Document, err error) {
 	switch {
 	case err != nil:
 		s.refuse(version, hash, reasonOf(err))
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -207,6 +207,7 @@
 func TestOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, 6)
+		f.checkApart = rapid.Bool().Draw(t, "check apart")
 		newest := uint64(1)
 		f.run(bound)
 		for range rapid.IntRange(1, 8).Draw(t, "steps") {
--- a/harness/spread/fleet.go
+++ b/harness/spread/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
+	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/engine"
 	"github.com/shallotspool/shallotspool/core/member"
 	corespread "github.com/shallotspool/shallotspool/core/spread"
@@ -62,6 +63,8 @@
 	reads     int
 	listReads int
 	cpu       time.Duration
+	// parse is what parsing documents took, apart from the engines.
+	parse time.Duration
 }
 
 type fleet struct {
@@ -113,7 +116,7 @@
 	h.node = engine.New(engine.Config{
 		Self: h.id, Service: h.place.service, DataCentre: h.place.centre, Seed: h.f.random.Uint64(),
 		Policy: engine.Full(), Admission: admission.Config{Initial: 20, Min: 1, Max: 2000, MaxQueue: 2000},
-		AskPeers: corespread.DefaultAsk, MaxCalls: 20000,
+		AskPeers: corespread.DefaultAsk, CheckApart: true, MaxCalls: 20000,
 	}, h.f.now)
 	h.f.after(time.Duration(h.f.random.Int64N(int64(time.Second))), h.tick)
 }
@@ -163,6 +166,8 @@
 		h.open(h.f.byName[a.Target])
 	case *engine.ReadPlatform:
 		h.read(a.Resource)
+	case *engine.CheckDocument:
+		h.check(a)
 	case *engine.Log:
 		if a.Message == "document in force" {
 			h.version, h.inForce = h.f.version, h.f.now
@@ -170,6 +175,18 @@
 	}
 }
 
+// check parses a document as a daemon does: apart from the engine, and as slowly
+// as it really is.
+func (h *host) check(a *engine.CheckDocument) {
+	began := time.Now()
+	doc, err := document.Parse(a.Text)
+	took := time.Since(began)
+	h.f.sum.parse += took
+	h.f.after(took, func() {
+		h.step(&engine.DocumentChecked{Version: a.Version, Text: a.Text, Document: doc, Err: err})
+	})
+}
+
 func (h *host) delayTo(to *host) time.Duration {
 	switch {
 	case h.place.centre == to.place.centre:
--- a/harness/spread/measure.go
+++ b/harness/spread/measure.go
@@ -40,6 +40,8 @@
 	Texts       float64
 	CPU         time.Duration
 	ChangeCPU   time.Duration
+	// Parse is the time to parse the document, apart from the engine.
+	Parse       time.Duration
 	SlowestStep time.Duration
 	LinksMean   float64
 	LinksMax    int
@@ -50,10 +52,10 @@
 func (r Result) String() string {
 	return fmt.Sprintf("spread nodes=%d services=%d data_centres=%d text_bytes=%d in_force_seconds=%.2f in_force_median_seconds=%.2f missed=%d "+
 		"platform_reads_per_second=%.1f list_reads_per_second=%.1f messages_per_node_second=%.1f bytes_per_node_second=%.0f "+
-		"bytes_per_node_change=%.0f texts_per_node_change=%.2f cpu_ns_per_node_second=%d cpu_ns_per_node_change=%d slowest_step_ms=%.1f "+
+		"bytes_per_node_change=%.0f texts_per_node_change=%.2f cpu_ns_per_node_second=%d cpu_ns_per_node_change=%d parse_ns_per_node_change=%d slowest_step_ms=%.1f "+
 		"links_mean=%.1f links_max=%d heap_bytes_per_node=%d",
 		r.Nodes, servicesOf(r.Nodes), dataCentres, r.TextBytes, r.InForce.Seconds(), r.Median.Seconds(), r.Missed,
-		r.Reads, r.ListReads, r.Messages, r.Bytes, r.ChangeBytes, r.Texts, r.CPU.Nanoseconds(), r.ChangeCPU.Nanoseconds(),
+		r.Reads, r.ListReads, r.Messages, r.Bytes, r.ChangeBytes, r.Texts, r.CPU.Nanoseconds(), r.ChangeCPU.Nanoseconds(), r.Parse.Nanoseconds(),
 		float64(r.SlowestStep.Microseconds())/1000, r.LinksMean, r.LinksMax, r.HeapBytes)
 }
 
@@ -125,6 +127,7 @@
 	perNode := float64(r.Nodes)
 	r.ChangeBytes = float64(f.sum.bytes-start.bytes)/perNode - r.Bytes*took
 	r.Texts = float64(f.sum.documents-start.documents) / perNode
+	r.Parse = (f.sum.parse - start.parse) / time.Duration(r.Nodes)
 	r.ChangeCPU = time.Duration(float64(f.sum.cpu-start.cpu)/perNode - float64(r.CPU)*took)
 }
 
