Pass on news of members that were heard directly, and keep early links

Cause: the new figures of harness spread on leaving: of 100 nodes 55 without a link never heard that one left, of 300 nodes 242. A linked node had the news from the heartbeat before the Member frame came, and so did not pass it on. At 30 nodes one linked node was not told: its link had opened before the list named its other end. Change: what is news is counted by Member frames alone; a link of an unknown node is remembered until the node is known. harness spread measures leaving.

--- a/core/member/heard.go
+++ b/core/member/heard.go
@@ -73,7 +73,11 @@
 // it is to be greeted: the link is new.
 func (v *View) LinkChanged(now time.Duration, id wire.NodeID, up bool) (greet *Peer) {
 	p := v.peers[id.Target]
-	if p == nil || id.Incarnation < p.Incarnation || p.Target == v.cfg.Self.Target {
+	if p == nil {
+		v.linkEarly(id, up)
+		return nil
+	}
+	if id.Incarnation < p.Incarnation || p.Target == v.cfg.Self.Target {
 		return nil
 	}
 	v.restart(p, id.Incarnation)
@@ -90,6 +94,19 @@
 	return nil
 }
 
+// maxEarly bounds the links of unknown nodes that are remembered.
+const maxEarly = 256
+
+// linkEarly remembers a link whose other end neither list nor news named yet.
+func (v *View) linkEarly(id wire.NodeID, up bool) {
+	switch {
+	case !up:
+		delete(v.early, id.Target)
+	case len(v.early) < maxEarly:
+		v.early[id.Target] = id
+	}
+}
+
 // Leaves notes that p itself refused work because it is leaving.
 func (v *View) Leaves(target string) {
 	if p := v.peers[target]; p != nil {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -59,6 +59,9 @@
 	expect time.Duration
 	// asked is when this node last asked for a link.
 	asked time.Duration
+	// toldRun and toldState are the latest news that came of p.
+	toldRun   uint64
+	toldState wire.NodeState
 	// moved is true while the addresses come from a run that the list lags
 	// behind.
 	moved bool
@@ -102,6 +105,8 @@
 	doubt    doubt
 	dropAt   time.Duration
 	links    linkChoice
+	// early holds the links of nodes that are not known yet.
+	early map[string]wire.NodeID
 	rank     rankCache
 }
 
@@ -114,7 +119,7 @@
 
 // NewView returns a view that knows only its own node.
 func NewView(cfg Config) *View {
-	v := &View{cfg: cfg, peers: map[string]*Peer{}, services: map[string]*group{}}
+	v := &View{cfg: cfg, peers: map[string]*Peer{}, services: map[string]*group{}, early: map[string]wire.NodeID{}}
 	self := v.add(Instance{Target: cfg.Self.Target, Service: cfg.Service, DataCentre: cfg.DataCentre})
 	self.Incarnation = cfg.Self.Incarnation
 	return v
@@ -154,6 +159,12 @@
 	v.peers[inst.Target] = p
 	v.join(p)
 	v.changed()
+	if id, linked := v.early[inst.Target]; linked {
+		delete(v.early, inst.Target)
+		p.Incarnation = id.Incarnation
+		v.setLinked(p, true)
+		v.fire(p, linkOpened)
+	}
 	return p
 }
 
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -124,6 +124,32 @@
 	}
 }
 
+// TestLinkBeforeList: a link that opens before its other end is known counts once
+// it is.
+func TestLinkBeforeList(t *testing.T) {
+	v := newView()
+	v.LinkChanged(0, run(2, 5), true)
+	v.LinkChanged(0, run(3, 5), true)
+	v.LinkChanged(0, run(3, 5), false)
+	v.Merge(time.Second, list(1, 3))
+	if linked := v.Linked(); len(linked) != 1 || linked[0].ID() != run(2, 5) {
+		t.Fatalf("linked: %v", linked)
+	}
+}
+
+// TestNewsPassOn: news are passed on once, also by who heard them from the node
+// itself.
+func TestNewsPassOn(t *testing.T) {
+	v := newView()
+	v.Merge(0, list(1, 3))
+	linked(v, 0, run(2, 5))
+	v.Heartbeat(v.Fresh(1, run(2, 5)), &wire.State{State: wire.NodeLeaving})
+	news := &wire.Member{Node: run(2, 5), Service: "s", DataCentre: "dc2", State: wire.NodeLeaving}
+	if !v.Told(2, news) || v.Told(3, news) {
+		t.Fatal("news that the node itself told are not passed on once")
+	}
+}
+
 // TestSilence: a linked node that misses the heartbeats it promised gets no new
 // work until it is heard; a pause of this node itself is no silence of others.
 func TestSilence(t *testing.T) {
--- a/core/member/rumour.go
+++ b/core/member/rumour.go
@@ -7,8 +7,8 @@
 )
 
 // Told takes what another node passed on about a node, and reports whether it
-// was news: a run not known yet, or a later state of the run known. News are
-// worth passing on, once.
+// was news: a run nobody told of yet, or a later state of the run told of. News
+// are worth passing on, once, also when the node itself was heard before.
 func (v *View) Told(now time.Duration, m *wire.Member) bool {
 	if m.Node.Target == v.cfg.Self.Target {
 		return false
@@ -23,13 +23,14 @@
 	if m.Node.Incarnation < p.Incarnation {
 		return false
 	}
-	news := m.Node.Incarnation > p.Incarnation || !p.said || m.State > p.State
+	news := m.Node.Incarnation > p.toldRun || m.Node.Incarnation == p.toldRun && m.State > p.toldState
 	if m.Node.Incarnation > p.Incarnation {
 		v.move(p, instanceOf(m))
 	}
 	v.restart(p, m.Node.Incarnation)
 	v.setState(p, m.State)
 	if news {
+		p.toldRun, p.toldState = m.Node.Incarnation, m.State
 		p.heard, p.gone = now, false
 	}
 	return news
--- a/harness/spread/fleet.go
+++ b/harness/spread/fleet.go
@@ -76,6 +76,8 @@
 	byName map[string]*host
 	list   []member.Instance
 	sum    totals
+	// leaving is the node that leaves at the end of the run.
+	leaving leaving
 
 	version uint64
 	text    []byte
@@ -231,6 +233,7 @@
 	if err != nil {
 		panic(err)
 	}
+	h.f.leaving.notice(h, from, frame)
 	h.step(&engine.FrameReceived{From: from, Frame: *frame})
 }
 
--- a/harness/spread/measure.go
+++ b/harness/spread/measure.go
@@ -43,9 +43,16 @@
 	// Parse is the time to parse the document, apart from the engine.
 	Parse       time.Duration
 	SlowestStep time.Duration
-	LinksMean   float64
-	LinksMax    int
-	HeapBytes   int
+	// LeavingLinked is the time until the last linked node heard that one
+	// leaves, LeavingUntold counts linked nodes that did not. Of the others
+	// LeavingTold heard it from somebody and LeavingUnlinked did not.
+	LeavingLinked   time.Duration
+	LeavingUntold   int
+	LeavingTold     int
+	LeavingUnlinked int
+	LinksMean       float64
+	LinksMax        int
+	HeapBytes       int
 }
 
 // String is the result line.
@@ -53,10 +60,11 @@
 	return fmt.Sprintf("spread nodes=%d services=%d data_centres=%d text_bytes=%d in_force_seconds=%.2f in_force_median_seconds=%.2f missed=%d "+
 		"platform_reads_per_second=%.1f list_reads_per_second=%.1f messages_per_node_second=%.1f bytes_per_node_second=%.0f "+
 		"bytes_per_node_change=%.0f texts_per_node_change=%.2f cpu_ns_per_node_second=%d cpu_ns_per_node_change=%d parse_ns_per_node_change=%d slowest_step_ms=%.1f "+
-		"links_mean=%.1f links_max=%d heap_bytes_per_node=%d",
+		"links_mean=%.1f links_max=%d leaving_linked_seconds=%.3f leaving_linked_untold=%d leaving_others_told=%d leaving_others_untold=%d heap_bytes_per_node=%d",
 		r.Nodes, servicesOf(r.Nodes), dataCentres, r.TextBytes, r.InForce.Seconds(), r.Median.Seconds(), r.Missed,
 		r.Reads, r.ListReads, r.Messages, r.Bytes, r.ChangeBytes, r.Texts, r.CPU.Nanoseconds(), r.ChangeCPU.Nanoseconds(), r.Parse.Nanoseconds(),
-		float64(r.SlowestStep.Microseconds())/1000, r.LinksMean, r.LinksMax, r.HeapBytes)
+		float64(r.SlowestStep.Microseconds())/1000, r.LinksMean, r.LinksMax,
+		r.LeavingLinked.Seconds(), r.LeavingUntold, r.LeavingTold, r.LeavingUnlinked, r.HeapBytes)
 }
 
 // Run measures one fleet.
@@ -68,6 +76,7 @@
 	f.measureSteady(&r)
 	f.measureChange(&r)
 	f.measureLinks(&r)
+	f.measureLeaving(&r)
 	return r
 }
 
