--- a/core/engine/levels.go
+++ b/core/engine/levels.go
@@ -74,7 +74,7 @@
 // weight is the share of recent calls that went to a target: the number of its
 // answers, each fading with time.
 func (t toldLevel) weight(now time.Duration) float64 {
-	return t.answers * math.Exp(-(now - t.at).Seconds()/levelMemory.Seconds())
+	return t.answers * math.Exp(-(now-t.at).Seconds()/levelMemory.Seconds())
 }
 
 // refusedAtEntry tells whether c would be refused somewhere in its call tree.
