Tell requests of the same key apart by what they ask for

Cause: two callers that give the same key, or one caller that gives it to two routes, drew on one allotment.

Change: an allotment is remembered by key and fingerprint of the request.

Measured: go test ./core/budget ./core/engine passes.

--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -97,7 +97,7 @@
 		spent, open := 0, []budget.Pool{}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			if len(open) == 0 || rapid.Bool().Draw(t, "arrives") {
-				d := m.Draw(0, "key", 3, time.Second)
+				d := m.Draw(0, budget.RequestKey{Key: "key"}, 3, time.Second)
 				open = append(open, budget.NewPool(d.Tokens))
 				continue
 			}
@@ -106,7 +106,7 @@
 			if pool.Spend() {
 				spent++
 			}
-			m.Settle("key", pool.Free(), true, true)
+			m.Settle(budget.RequestKey{Key: "key"}, pool.Free(), true, true)
 		}
 		if spent > 3 {
 			t.Fatalf("resends spent %d of 3 tokens", spent)
@@ -116,16 +116,16 @@
 
 func TestMemoryKeepsOldKeysAndForgetsThem(t *testing.T) {
 	m := budget.NewMemory(1)
-	m.Draw(0, "a", 2, time.Second)
-	if m.Draw(0, "b", 2, time.Second).Kept {
+	m.Draw(0, budget.RequestKey{Key: "a"}, 2, time.Second)
+	if m.Draw(0, budget.RequestKey{Key: "b"}, 2, time.Second).Kept {
 		t.Fatal("a full memory took another key")
 	}
-	m.Settle("a", 0, true, false)
-	if d := m.Draw(0, "a", 2, time.Second); d.Tokens != 0 || !d.Again || d.Rerun {
+	m.Settle(budget.RequestKey{Key: "a"}, 0, true, false)
+	if d := m.Draw(0, budget.RequestKey{Key: "a"}, 2, time.Second); d.Tokens != 0 || !d.Again || d.Rerun {
 		t.Fatalf("a resend drew %+v", d)
 	}
-	m.Settle("a", 0, true, false)
-	if d := m.Draw(2*time.Second, "b", 2, 3*time.Second); d.Tokens != 2 || !d.Kept || m.Len() != 1 {
+	m.Settle(budget.RequestKey{Key: "a"}, 0, true, false)
+	if d := m.Draw(2*time.Second, budget.RequestKey{Key: "b"}, 2, 3*time.Second); d.Tokens != 2 || !d.Kept || m.Len() != 1 {
 		t.Fatalf("after the old key expired another drew %+v", d)
 	}
 }
--- a/core/budget/memory.go
+++ b/core/budget/memory.go
@@ -8,9 +8,16 @@
 // safe for concurrent use.
 type Memory struct {
 	max     int
-	entries map[string]*allotment
+	entries map[RequestKey]*allotment
 	// order holds the keys as they were first seen, for forgetting.
-	order []string
+	order []RequestKey
+}
+
+// RequestKey names one request of a caller: the key it gave, and a fingerprint of
+// what is asked for, because two callers may give the same key.
+type RequestKey struct {
+	Key         string
+	Fingerprint uint64
 }
 
 type allotment struct {
@@ -36,12 +43,12 @@
 
 // NewMemory returns a Memory of at most limit keys.
 func NewMemory(limit int) *Memory {
-	return &Memory{max: limit, entries: map[string]*allotment{}}
+	return &Memory{max: limit, entries: map[RequestKey]*allotment{}}
 }
 
 // Draw takes the tokens of a send of key, which has tokens if key is new.
 // expires is when the request ends for its caller.
-func (m *Memory) Draw(now time.Duration, key string, tokens int, expires time.Duration) Draw {
+func (m *Memory) Draw(now time.Duration, key RequestKey, tokens int, expires time.Duration) Draw {
 	m.forget(now)
 	e := m.entries[key]
 	if e != nil && e.open == 0 && e.expires <= now {
@@ -66,7 +73,7 @@
 
 // Settle ends a send that was kept: left came back of its tokens, launched tells
 // whether any attempt was made for it, and ran whether it may have run.
-func (m *Memory) Settle(key string, left int, launched, ran bool) {
+func (m *Memory) Settle(key RequestKey, left int, launched, ran bool) {
 	e := m.entries[key]
 	if e == nil || e.open == 0 {
 		return
@@ -87,7 +94,7 @@
 			return
 		}
 		delete(m.entries, m.order[0])
-		m.order[0] = ""
+		m.order[0] = RequestKey{}
 		m.order = m.order[1:]
 	}
 }
--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -115,7 +115,8 @@
 	if !n.cfg.Policy.Budget || c.request.Key == "" || c.stage == StageRun {
 		return
 	}
-	d := n.allotments.Draw(n.now, c.request.Key, tokens, c.deadline)
+	c.allotment = budget.RequestKey{Key: c.request.Key, Fingerprint: fingerprintOf(c.request)}
+	d := n.allotments.Draw(n.now, c.allotment, tokens, c.deadline)
 	c.pool = budget.NewPool(d.Tokens)
 	c.again = d.Again
 	c.rerun = c.rerun || d.Rerun
@@ -169,7 +170,7 @@
 	}
 	c.remembered = false
 	ran := c.mayHaveRun || o == OutcomeAnswered || o == OutcomeUpstreamError || o == OutcomeUnknown
-	n.allotments.Settle(c.request.Key, c.pool.Free(), c.launched, ran)
+	n.allotments.Settle(c.allotment, c.pool.Free(), c.launched, ran)
 }
 
 // checkPool asserts that p lends, spends and returns no more than it was given.
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -48,8 +48,9 @@
 	rerun bool
 	// launched is true once an attempt at c left this node's queue.
 	launched bool
-	// remembered is true when the allotment has to be settled under c's key.
+	// remembered is true when the allotment of this key has to be settled.
 	remembered bool
+	allotment  budget.RequestKey
 	// overloads counts the refusals for overload.
 	overloads int
 	heapIndex int
