Do not take a known target for a cold one

Cause: a target that got a send to the owner of a key before it became a member of a group was taken for a new run, and had a tenth of its share in a surge.

Change: a target that joins a group has the run its peer has then.

--- a/core/balancer/group.go
+++ b/core/balancer/group.go
@@ -127,9 +127,12 @@
 		m := &g.all[i]
 		t := b.targets[m.peer.Target]
 		if t == nil {
-			t = &target{incarnation: m.peer.Incarnation, linked: m.peer.Linked}
+			t = &target{}
 			b.targets[m.peer.Target] = t
 		}
+		if t.incarnation == 0 {
+			t.incarnation, t.linked = m.peer.Incarnation, m.peer.Linked
+		}
 		m.target, t.group = t, g
 		t.outlier.Join(&g.outliers)
 	}
