--- a/node/daemon/daemon_test.go
+++ b/node/daemon/daemon_test.go
@@ -20,7 +20,7 @@
 }
 
 func TestCallThroughTwoNodes(t *testing.T) {
-	f := newFleet(t, "front-1", "deep-1")
+	f := newFleet(t, "front-1", "deep-1", "deep-2")
 	call := f.call("front", "read", "r1")
 	if r := f.caller("front-1").Do(call); r.Status != 200 || r.Outcome != "answered" || r.Body != "r1" {
 		t.Fatalf("read: %+v", r)
@@ -33,7 +33,7 @@
 	if r.Status != 200 || r.Body != "t1" {
 		t.Fatalf("take by way of front: %+v", r)
 	}
-	if n := f.upstreams["deep-1"].Runs("t1"); n != 1 {
+	if n := f.runs("t1"); n != 1 {
 		t.Fatalf("take ran %d times", n)
 	}
 }
--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"testing"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/harness/standin"
@@ -25,7 +27,7 @@
       read: {method: GET, path: "/read/{id}", class: lookup, idempotent: true, wait: 2s, retries: 2, calls: [deep.stock]}
       pay: {method: POST, path: /pay, class: payment, idempotent: false, wait: 1s, retries: 2}
   deep:
-    targets: 1
+    targets: 2
     routes:
       stock: {method: GET, path: "/stock/{id}", class: lookup, idempotent: true, wait: 1s, retries: 1}
       take: {method: POST, path: /take, class: payment, idempotent: false, wait: 1s, retries: 1}
@@ -54,7 +56,7 @@
 	t.Cleanup(f.close)
 	for _, target := range targets {
 		f.upstreams[target] = f.upstream(target)
-		f.start(target)
+		f.start(target, f.upstreams[target].Address)
 	}
 	platform.Publish(1, []byte(testDocument))
 	f.settle(targets)
@@ -73,12 +75,12 @@
 }
 
 // start runs a node and puts it in the platform's list.
-func (f *fleet) start(target string) {
+func (f *fleet) start(target, upstream string) {
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	s := DefaultSettings()
 	s.Target, s.Service, s.DataCentre = target, serviceOf(target), "dc0"
 	s.ListenCallers, s.ListenUpstream, s.ListenPeers, s.ListenAdmin = loopback, loopback, loopback, loopback
-	s.UpstreamAddress = netip.MustParseAddrPort(f.upstreams[target].Address)
+	s.UpstreamAddress = netip.MustParseAddrPort(upstream)
 	s.PlatformAddress = netip.MustParseAddrPort(f.platform.Address)
 	d, err := Start(s, io.Discard)
 	if err != nil {
@@ -141,3 +143,33 @@
 	}
 	f.platform.Close()
 }
+
+// runs tells how often a request ran on any upstream.
+func (f *fleet) runs(id string) int {
+	n := 0
+	for _, u := range f.upstreams {
+		n += u.Runs(id)
+	}
+	return n
+}
+
+// warm returns when the owners of all keys remember a whole resend window.
+func (f *fleet) warm() {
+	for i := range 16 {
+		call := f.call("deep", "take", fmt.Sprintf("warm%d", i))
+		await(f.t, "owners take keys", func() bool {
+			return f.caller("front-1").Do(call).Outcome == "answered"
+		})
+	}
+}
+
+// many makes n calls at once and returns what their callers got.
+func many(n int, do func(i int) standin.Result) []standin.Result {
+	results := make([]standin.Result, n)
+	var wg conc.WaitGroup
+	for i := range n {
+		wg.Go(func() { results[i] = do(i) })
+	}
+	wg.Wait()
+	return results
+}
--- /dev/null
+++ b/node/daemon/malformed_test.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// malformed are requests that no listener for callers takes.
+var malformed = []struct{ name, text string }{
+	{"negative wait", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: -5\r\n\r\n"},
+	{"zero wait", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 0\r\n\r\n"},
+	{"wait overflows", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 99999999999999999999\r\n\r\n"},
+	{"wait too long", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 3600001\r\n\r\n"},
+	{"wait not a number", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: soon\r\n\r\n"},
+	{"wait with a sign", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: +5\r\n\r\n"},
+	{"wait with a fraction", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 1.5\r\n\r\n"},
+	{"wait twice", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 5\r\nShallot-Wait-Ms: 5\r\n\r\n"},
+	{"wait twice, one in capitals", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 5\r\nSHALLOT-WAIT-MS: 6\r\n\r\n"},
+	{"empty wait", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms:\r\n\r\n"},
+	{"key twice", "POST /pay HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\nIdempotency-Key: a\r\nContent-Length: 0\r\n\r\n"},
+	{"key too long", "POST /pay HTTP/1.1\r\nHost: x\r\nIdempotency-Key: " + strings.Repeat("k", 257) + "\r\nContent-Length: 0\r\n\r\n"},
+	{"key with a space", "POST /pay HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a b\r\nContent-Length: 0\r\n\r\n"},
+	{"empty key", "POST /pay HTTP/1.1\r\nHost: x\r\nIdempotency-Key:\r\nContent-Length: 0\r\n\r\n"},
+	{"service with a slash", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Service: a/b\r\n\r\n"},
+	{"service too long", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Service: " + strings.Repeat("s", 65) + "\r\n\r\n"},
+	{"group not a name", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Group: \"shops\"\r\n\r\n"},
+	{"target is an address", "GET http://other/read/1 HTTP/1.1\r\nHost: x\r\n\r\n"},
+	{"negative length", "POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n"},
+	{"two lengths", "POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"},
+	{"body over the limit", "POST /pay HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n"},
+	{"header over the limit", "GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("x", 17<<10) + "\r\n\r\n"},
+	{"no request line", "\x00\x01\x02\r\n\r\n"},
+	{"no route", "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n"},
+	{"unknown service", "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Service: nobody\r\n\r\n"},
+}
+
+// exchangeRaw sends bytes and returns all that comes back.
+func exchangeRaw(t *testing.T, address, text string) string {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, text); err != nil {
+		return "connection closed\n"
+	}
+	_ = conn.(*net.TCPConn).CloseWrite()
+	answer, _ := io.ReadAll(conn)
+	return strings.ReplaceAll(string(answer), "\r\n", "\n")
+}
+
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	f := newFleet(t, "front-1")
+	address := f.nodes["front-1"].settings.ListenCallers.String()
+	before := f.nodes["front-1"].Status()
+	var got bytes.Buffer
+	for _, m := range malformed {
+		if m.name == "no route" {
+			if after := f.nodes["front-1"].Status(); !reflect.DeepEqual(before, after) {
+				t.Errorf("state changed:\n%+v\n%+v", before, after)
+			}
+		}
+		fmt.Fprintf(&got, "== %s\n%s\n", m.name, exchangeRaw(t, address, m.text))
+	}
+	goldie.New(t).Assert(t, "malformed", got.Bytes())
+}
+
+// TestInternalHeadersFromOutsideAreDropped sends what only nodes may say.
+func TestInternalHeadersFromOutsideAreDropped(t *testing.T) {
+	f := newFleet(t, "front-1")
+	upstream := &rawUpstream{}
+	upstream.answer.Store("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	f.nodes["front-1"].Kill()
+	f.start("front-1", upstream.serve(t))
+	f.settle([]string{"front-1"})
+	address := f.nodes["front-1"].settings.ListenCallers.String()
+	request := "POST /pay HTTP/1.1\r\nHost: x\r\nIdempotency-Key: e\r\nShallot-Budget: 200\r\nShallot-Class: 0\r\n" +
+		"Shallot-Send: a/1/1\r\nShallot-Stage: run\r\nShallot-Depth: 9\r\nShallot-Parent: 1.1\r\nShallot-Made-Up: 1\r\n" +
+		"Connection: X-Hop, close\r\nX-Hop: 1\r\nX-Own: kept\r\nContent-Length: 0\r\n\r\n"
+	var answer string
+	await(t, "front-1 takes keys", func() bool {
+		answer = exchangeRaw(t, address, request)
+		return !strings.Contains(answer, "owner_starting")
+	})
+	seen, _ := upstream.request.Load().(string)
+	for _, dropped := range []string{"Budget", "Class", "Send", "Stage", "Depth", "Made-Up", "X-Hop", ": 1.1\r\n"} {
+		if strings.Contains(seen, dropped) {
+			t.Errorf("the upstream got %s:\n%s", dropped, seen)
+		}
+	}
+	if !strings.Contains(seen, "X-Own: kept\r\n") || !strings.Contains(answer, "200 OK") {
+		t.Errorf("upstream got:\n%s\ncaller got:\n%s", seen, answer)
+	}
+}
--- /dev/null
+++ b/node/internal/header/parse_test.go
@@ -0,0 +1,97 @@
+package header
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/core/engine"
+)
+
+// FuzzParse reads arbitrary headers as each origin.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 5\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var h fasthttp.RequestHeader
+		if h.Read(bufio.NewReader(bytes.NewReader(text))) != nil {
+			return
+		}
+		for _, origin := range []engine.Origin{engine.OriginCaller, engine.OriginUpstream, engine.OriginPeer} {
+			call, err := Parse(&h, origin, 1)
+			var wrong *Error
+			if err != nil && !errors.As(err, &wrong) {
+				t.Fatalf("not an *Error: %v", err)
+			}
+			if err == nil {
+				checkCall(t, origin, &call)
+			}
+		}
+	})
+}
+
+// checkCall checks what must hold of every accepted call.
+func checkCall(t *testing.T, origin engine.Origin, c *Call) {
+	if origin != engine.OriginPeer && (c.Tokens != 0 || c.Depth != 0 || c.Class != 0 || c.Stage != 0 || c.Send.Sequence != 0) {
+		t.Fatalf("outside header was trusted: %+v", c)
+	}
+	if origin == engine.OriginCaller && c.Parent != 0 {
+		t.Fatalf("a caller named a parent: %+v", c)
+	}
+	if c.Wait < 0 || len(c.Key) > maxKey || len(c.Service) > maxName || len(c.Group) > maxName {
+		t.Fatalf("out of range: %+v", c)
+	}
+	EachLine(c.Extra, func(name, _ []byte) {
+		if strings.HasPrefix(string(name), prefix) || hopByHop[string(name)] {
+			t.Fatalf("passed on: %s", name)
+		}
+	})
+}
+
+func TestPeerLinesAreRead(t *testing.T) {
+	var h fasthttp.RequestHeader
+	lines := "POST /x HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 250\r\nShallot-Budget: 2\r\nShallot-Class: 1\r\nShallot-Depth: 3\r\n" +
+		"Shallot-Send: a-1/7/9\r\nShallot-Stage: own\r\nShallot-Heard: 4/5\r\nShallot-Rerun: 1\r\nX-Own: v\r\n\r\n"
+	if err := h.Read(bufio.NewReader(strings.NewReader(lines))); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse(&h, engine.OriginPeer, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if FormatSend(c.Send) != "a-1/7/9" || FormatStage(c.Stage) != "own" || c.Tokens != 2 || c.Class != 1 ||
+		c.Depth != 3 || FormatStamp(c.Heard) != "4/5" || !c.Rerun || string(c.Extra) != "X-Own: v\r\n" {
+		t.Fatalf("got %+v", c)
+	}
+	for _, name := range []string{Wait, Budget, Class, Depth, Send, Stage} {
+		var without fasthttp.RequestHeader
+		h.CopyTo(&without)
+		without.Del(name)
+		if _, err := Parse(&without, engine.OriginPeer, 1); err == nil || err.Error() != name+": missing" {
+			t.Errorf("without %s: %v", name, err)
+		}
+	}
+}
+
+func TestReplyTravels(t *testing.T) {
+	sent := engine.Reply{Outcome: engine.OutcomeNotRun, Reason: engine.ReasonOverload, Tokens: 2, RetryAfter: 1500e6}
+	sent.Load.InFlight, sent.Load.Limit, sent.Load.Level = 3, 4, 5
+	sent.Stamp.Incarnation, sent.Stamp.Clock = 6, 7
+	var h fasthttp.ResponseHeader
+	WriteReply(&h, sent)
+	got, err := ReadReply(&h)
+	if err != nil || got != sent {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	for _, broken := range []string{Outcome, Reason, Budget, Load, Stamp} {
+		var without fasthttp.ResponseHeader
+		h.CopyTo(&without)
+		without.Set(broken, "-1")
+		if _, err := ReadReply(&without); !errors.Is(err, ErrReply) {
+			t.Errorf("%s: %v", broken, err)
+		}
+	}
+}
--- a/node/internal/link/hub.go
+++ b/node/internal/link/hub.go
@@ -176,6 +176,7 @@
 	})
 	l.close()
 	_ = l.conn.Close()
+	<-l.written
 	if h.unregister(l) {
 		h.cfg.Step(&engine.LinkChanged{Peer: l.peer, Up: false})
 	}
--- a/node/internal/link/link.go
+++ b/node/internal/link/link.go
@@ -40,12 +40,14 @@
 	queue   chan *wire.Frame
 	once    sync.Once
 	closing chan struct{}
+	// written is closed when the writer has ended.
+	written chan struct{}
 }
 
 func newLink(conn *websocket.Conn, peer wire.NodeID, dialled bool) *link {
 	return &link{
 		conn: conn, peer: peer, dialled: dialled,
-		queue: make(chan *wire.Frame, queueFrames), closing: make(chan struct{}),
+		queue: make(chan *wire.Frame, queueFrames), closing: make(chan struct{}), written: make(chan struct{}),
 	}
 }
 
@@ -64,6 +66,7 @@
 
 // write sends queued frames and pings until the link ends.
 func (l *link) write() {
+	defer close(l.written)
 	defer func() { _ = l.conn.Close() }()
 	ping := time.NewTicker(pingInterval)
 	defer ping.Stop()
--- a/node/internal/server/reply.go
+++ b/node/internal/server/reply.go
@@ -24,10 +24,10 @@
 
 // The reasons that the engine has no part in.
 const (
-	reasonHeader    = "bad_header"
-	reasonRequest   = "bad_request"
-	reasonBodySize  = "body_too_large"
-	reasonForbidden = "unknown_sender"
+	reasonHeader   = "bad_header"
+	reasonRequest  = "bad_request"
+	reasonBodySize = "body_too_large"
+	reasonSender   = "unknown_sender"
 )
 
 // writeReply answers a call. Another node also gets what it needs to go on.
@@ -94,8 +94,8 @@
 }
 
 // refuseClient refuses a request that this listener does not take.
-func refuseClient(ctx *fasthttp.RequestCtx, detail string) {
-	r := refusal{Outcome: engine.OutcomeBadRequest.String(), Reason: reasonForbidden, Detail: detail}
+func refuseClient(ctx *fasthttp.RequestCtx, reason, detail string) {
+	r := refusal{Outcome: engine.OutcomeBadRequest.String(), Reason: reason, Detail: detail}
 	ctx.Response.Header.Set(header.Outcome, r.Outcome)
 	writeRefusal(ctx, fasthttp.StatusBadRequest, r)
 }
--- a/node/internal/server/server.go
+++ b/node/internal/server/server.go
@@ -87,8 +87,8 @@
 		badHeader(ctx, err)
 		return
 	}
-	if detail := s.refusable(ctx, &call); detail != "" {
-		refuseClient(ctx, detail)
+	if reason, detail := s.refusable(ctx, &call); detail != "" {
+		refuseClient(ctx, reason, detail)
 		return
 	}
 	held := int64(len(ctx.PostBody()))
@@ -105,19 +105,16 @@
 	writeReply(ctx, s.cfg.Origin, pending.Reply())
 }
 
-// refusable returns why the request is not taken, empty if it is.
-func (s *Server) refusable(ctx *fasthttp.RequestCtx, call *header.Call) string {
+// refusable returns why the request is not taken; detail is empty if it is.
+func (s *Server) refusable(ctx *fasthttp.RequestCtx, call *header.Call) (reason, detail string) {
 	uri := ctx.Request.Header.RequestURI()
 	if len(uri) == 0 || uri[0] != '/' {
-		return "the request target is not a path"
+		return reasonRequest, "the request target is not a path"
 	}
-	if s.cfg.Accept == nil {
-		return ""
+	if s.cfg.Accept != nil && !s.cfg.Accept(call.Send.Node.Target, remoteIP(ctx)) {
+		return reasonSender, "the sender is not a known instance"
 	}
-	if ip := remoteIP(ctx); !s.cfg.Accept(call.Send.Node.Target, ip) {
-		return "the sender is not a known instance"
-	}
-	return ""
+	return "", ""
 }
 
 func remoteIP(ctx *fasthttp.RequestCtx) netip.Addr {
--- a/node/internal/settings/file.go
+++ b/node/internal/settings/file.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"io"
 	"strings"
 
@@ -40,7 +41,7 @@
 	}
 	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
-		return errors.Wrap(err, "settings are not YAML")
+		return syntaxError(err)
 	}
 	if len(file.Docs) > 1 {
 		return errors.Newf("%s: a second YAML document begins", place(file.Docs[1].Start))
@@ -60,6 +61,18 @@
 	return nil
 }
 
+// syntaxError gives the first line of the parser's error, with its place in the
+// form of all others.
+func syntaxError(err error) error {
+	first, _, _ := strings.Cut(err.Error(), "\n")
+	var line, column int
+	if _, scanErr := fmt.Sscanf(first, "[%d:%d]", &line, &column); scanErr != nil {
+		return errors.Newf("not YAML: %s", first)
+	}
+	_, detail, _ := strings.Cut(first, "] ")
+	return errors.Newf("line %d column %d: %s", line, column, detail)
+}
+
 // mapping reads the keys below path.
 func (f *fileReader) mapping(path string, node ast.Node) error {
 	switch n := node.(type) {
--- /dev/null
+++ b/node/internal/settings/settings_test.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+)
+
+// TestMalformedFiles loads every file of testdata/malformed.
+func TestMalformedFiles(t *testing.T) {
+	paths, err := filepath.Glob("testdata/malformed/*.yaml")
+	if err != nil || len(paths) < 10 {
+		t.Fatalf("%d files, %v", len(paths), err)
+	}
+	var got bytes.Buffer
+	for _, path := range paths {
+		_, err := Load([]string{"-config", path}, &got)
+		if !errors.Is(err, ErrUsage) {
+			t.Errorf("%s: got %v", path, err)
+			continue
+		}
+		fmt.Fprintf(&got, "%v\n\n", err)
+	}
+	goldie.New(t).Assert(t, "malformed", got.Bytes())
+}
+
+func TestExampleLoads(t *testing.T) {
+	s, err := Load([]string{"-config", "testdata/good.yaml", "-limits-calls", "77"}, os.Stderr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Target != "pullreg-1" || s.Calls != 77 || s.PeerConnections != 300 || s.ListenAdmin.String() != "127.0.0.1:9090" {
+		t.Fatalf("got %+v", s)
+	}
+}
+
+func TestEnvironmentGoesOverTheFile(t *testing.T) {
+	t.Setenv("SHALLOTD_LIMITS_PEER_CONNECTIONS", "400")
+	s, err := Load([]string{"-config", "testdata/good.yaml"}, os.Stderr)
+	if err != nil || s.PeerConnections != 400 {
+		t.Fatalf("got %+v, %v", s, err)
+	}
+	t.Setenv("SHALLOTD_LIMITS_PEER_CONNECTIONS", "4")
+	if _, err := Load([]string{"-config", "testdata/good.yaml"}, os.Stderr); !errors.Is(err, ErrUsage) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// TestHelp also checks that docs/CONFIGURATION.md names every setting.
+func TestHelp(t *testing.T) {
+	var help bytes.Buffer
+	if _, err := Load([]string{"-help"}, &help); !errors.Is(err, flag.ErrHelp) {
+		t.Fatalf("got %v", err)
+	}
+	goldie.New(t).Assert(t, "help", help.Bytes())
+	page, err := os.ReadFile("../../../docs/CONFIGURATION.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	missing := slices.DeleteFunc(options(New()), func(o option) bool {
+		return strings.Contains(string(page), "`"+o.path+"`")
+	})
+	for _, o := range missing {
+		t.Errorf("docs/CONFIGURATION.md does not name %s", o.path)
+	}
+}
