--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/wire"
@@ -13,12 +12,14 @@
 // call is one request that this node has to answer, from its arrival to its
 // reply.
 type call struct {
-	id       CallID
-	origin   Origin
-	stage    Stage
-	request  *Request
-	route    *document.Route
-	class    document.Class
+	id      CallID
+	origin  Origin
+	stage   Stage
+	request *Request
+	route   *document.Route
+	class   document.Class
+	// priority is the priority within the class, drawn at the entry.
+	priority uint16
 	depth    int
 	arrived  time.Duration
 	deadline time.Duration
@@ -54,11 +55,6 @@
 	heapIndex int
 }
 
-// rank is the admission rank of c.
-func (c *call) rank() admission.Rank {
-	return admission.RankOf(uint8(c.class), c.depth)
-}
-
 // attempt is one try to have a call run: by the own upstream, or by a send to
 // another node.
 type attempt struct {
@@ -75,6 +71,8 @@
 	loan int
 	// pool holds the tokens for calls the own upstream makes meanwhile.
 	pool budget.Pool
+	// made counts the calls that the own upstream made meanwhile.
+	made int
 	// children are the open calls of the own upstream, childSince is when the
 	// first of them began, and childTime is the time at least one was open.
 	children   []*call
@@ -92,6 +90,7 @@
 		a.childSince = now
 	}
 	a.children = append(a.children, child)
+	a.made++
 }
 
 func (a *attempt) childEnded(now time.Duration, child *call) {
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -17,7 +17,9 @@
 	}
 	c := a.call
 	reply := ev.Reply
-	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
+	n.hear(a, reply)
+	n.learnLevel(a, reply.Load)
+	n.endAttempt(a, resultOf(reply), reply.Tokens)
 	switch reply.Outcome {
 	case OutcomeNotRun:
 		n.afterRefusal(c, reply.Reason)
@@ -32,15 +34,33 @@
 	n.drainQueue()
 }
 
-func resultOf(o Outcome) balancer.Result {
-	switch o {
+// hear takes in the load that travelled with an answer. Its level is that of one
+// route and is learnt elsewhere.
+func (n *Node) hear(a *attempt, reply Reply) {
+	if a.local || reply.Load.Limit == 0 {
+		return
+	}
+	if p := n.view.Peer(a.target); p != nil {
+		p.Load.InFlight, p.Load.Limit = reply.Load.InFlight, reply.Load.Limit
+	}
+}
+
+// resultOf is what a reply tells of the target it came from. A target that has
+// no document, or cannot reach its own upstream, does not work.
+func resultOf(r Reply) balancer.Result {
+	switch r.Outcome {
 	case OutcomeAnswered, OutcomeUpstreamError, OutcomeBadRequest:
 		return balancer.ResultOK
 	case OutcomeNotRun:
+		if r.Reason == ReasonNoDocument || r.Reason == ReasonNoTarget {
+			return balancer.ResultFailed
+		}
 		return balancer.ResultRefused
-	default:
+	}
+	if r.Reason == ReasonAttemptLost {
 		return balancer.ResultFailed
 	}
+	return balancer.ResultCancelled
 }
 
 // failed takes the end of an attempt that got no whole answer.
@@ -74,11 +94,11 @@
 		a.call.launched = true
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
-			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
+			ID: uint64(a.id), Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
 		})
 		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
 	} else {
-		n.balancer.Finished(n.now, a.target, r)
+		n.balancer.Finished(n.now, a.target, a.started, r)
 	}
 	a.call.attempted += n.now - a.started
 	n.checker.Check(left <= a.loan, invariant.Violation{
@@ -100,9 +120,8 @@
 
 // afterLoss goes on with a call whose last attempt may have run.
 func (n *Node) afterLoss(c *call) {
-	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership
 	c.rerun = true
-	if repeatable && n.retry(c, n.treeSize(c.route)) {
+	if n.repeatable(c) && n.retry(c, n.treeSize(c.route)) {
 		return
 	}
 	n.end(c, Reply{Outcome: OutcomeUnknown, Reason: ReasonAttemptLost})
@@ -111,7 +130,7 @@
 // afterError goes on with a call that an upstream failed. A node that is not
 // bound by a budget repeats it, as clients of plain proxies do.
 func (n *Node) afterError(c *call, reply Reply) {
-	if !n.cfg.Policy.Budget && n.retry(c, 1) {
+	if !n.cfg.Policy.Budget && n.repeatable(c) && n.retry(c, 1) {
 		return
 	}
 	n.end(c, reply)
@@ -137,7 +156,7 @@
 	n.checkPool(&c.pool, c)
 	n.settleAllotment(c, reply.Outcome)
 	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
+	reply.Load = n.loadFor(c.route)
 	n.settleParent(c)
 	n.measureEnd(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -5,15 +5,18 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
 	"github.com/shallotspool/shallotspool/core/budget"
+	"github.com/shallotspool/shallotspool/core/chart"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/owner"
+	"github.com/shallotspool/shallotspool/core/spread"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -29,6 +32,10 @@
 	Seed       uint64
 	Policy     Policy
 	Admission  admission.Config
+	// AskPeers is how long a node that remembers no document asks others before
+	// it takes the platform's word; 0 means that it asks nobody. A daemon uses
+	// spread.DefaultAsk.
+	AskPeers time.Duration
 	// MaxCalls is the number of calls the node holds at once.
 	MaxCalls int
 }
@@ -38,12 +45,15 @@
 	cfg Config
 	now time.Duration
 	out []Action
+	// random draws priorities.
+	random *rand.Rand
 
 	doc      *document.Document
 	view     *member.View
 	balancer *balancer.Balancer
 	guard    *admission.Controller
 	keys     *owner.Table
+	levels   levels
 	checker  invariant.Checker
 
 	calls    map[CallID]*call
@@ -62,19 +72,39 @@
 	// refused counts refusals for Status.
 	refused map[refusal]uint64
 
-	state     wire.NodeState
+	documents *spread.Spread
+	// callees are the services that the own one calls, sorted.
+	callees []string
+	// life lives by the chart of nodes; state is what others are told of it.
+	life         chart.Machine
+	state        wire.NodeState
+	leavingSince time.Duration
+	// heartbeat, controlAt and listAt are when the next of each is due.
 	heartbeat time.Duration
-	readAt    time.Duration
+	controlAt time.Duration
+	listAt    time.Duration
+	listWait  time.Duration
+	// beat goes round the links with the heartbeats.
+	beat int
+	// news are members still to be told of.
+	news []*wire.Member
+	// spreadOut draws whom to tell and when to read the platform.
+	spreadOut *rand.Rand
 }
 
 // New returns a node that starts at now.
 func New(cfg Config, now time.Duration) *Node {
-	return &Node{
-		cfg:      cfg,
-		now:      now,
-		view:     member.NewView(),
-		balancer: balancer.New(cfg.Seed),
-		guard:    admission.New(cfg.Admission),
+	n := &Node{
+		cfg:  cfg,
+		now:  now,
+		view: member.NewView(member.Config{Self: cfg.Self, Service: cfg.Service, DataCentre: cfg.DataCentre}),
+		balancer: balancer.New(balancer.Config{
+			Seed: cfg.Seed, Self: cfg.Self.Target, DataCentre: cfg.DataCentre,
+			Outliers: cfg.Policy.Outliers, SlowStart: cfg.Policy.SlowStart, Spill: cfg.Policy.Spill,
+		}, now),
+		random:   rand.New(rand.NewPCG(cfg.Seed, 2)),
+		guard:    admission.New(cfg.guardConfig()),
+		levels:   newLevels(),
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
@@ -83,8 +113,14 @@
 		allotments: budget.NewMemory(maxAllotments),
 		services:   map[string]*serviceState{},
 
-		state: wire.NodeServing,
+		life:      lifeChart.Start(),
+		state:     wire.NodeStarting,
+		spreadOut: rand.New(rand.NewPCG(cfg.Seed, 4)),
 	}
+	n.documents = spread.New(spread.Config{
+		Self: cfg.Self, DataCentre: cfg.DataCentre, Seed: cfg.Seed, Ask: cfg.AskPeers,
+	}, now, documentRuntime{n}, n.view, &n.checker)
+	return n
 }
 
 // Step takes one event that happened at now and returns what is to be done
@@ -96,6 +132,7 @@
 	switch ev := ev.(type) {
 	case *CallArrived:
 		n.arrive(ev)
+		n.drainQueue()
 	case *CallerGone:
 		n.callerGone(ev.ID)
 	case *AttemptAnswered:
@@ -123,12 +160,3 @@
 
 // Violations returns the broken invariants this node has seen.
 func (n *Node) Violations() *invariant.Checker { return &n.checker }
-
-// Load returns what the node tells others of its upstream.
-func (n *Node) Load() wire.Load {
-	return wire.Load{
-		InFlight: uint32(n.guard.InFlight() + n.guard.Queued()),
-		Limit:    uint32(n.guard.Limit()),
-		Level:    uint16(n.guard.Level()),
-	}
-}
