Let a read of the platform say which version is in force

Change: ReadPlatform carries the version in force, and DocumentSeen without a text means that the platform has no other. Measured: go test ./core/spread ./core/engine ./harness/sim pass; no run of a daemon with it yet. Conclusion: the daemon's reader and its platform have to use it.

--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -137,7 +137,12 @@
 )
 
 // ReadPlatform asks for one read; the result comes back as an event.
-type ReadPlatform struct{ Resource Resource }
+type ReadPlatform struct {
+	Resource Resource
+	// Have is the version in force, for ResourceDocument: a platform that can
+	// tell need not send that one again, see DocumentSeen.
+	Have document.Version
+}
 
 // CheckDocument asks for document.Parse of Text off the engine's own thread; the
 // result comes back as DocumentChecked.
--- a/core/engine/documents.go
+++ b/core/engine/documents.go
@@ -21,7 +21,7 @@
 }
 
 func (r documentRuntime) ReadDocument() {
-	r.n.emit(&ReadPlatform{Resource: ResourceDocument})
+	r.n.emit(&ReadPlatform{Resource: ResourceDocument, Have: document.Version(r.n.documents.Version())})
 }
 
 func (r documentRuntime) Check(version uint64, text []byte) bool {
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -132,7 +132,8 @@
 	Up   bool
 }
 
-// DocumentSeen is a document read from the platform, or handed over at start.
+// DocumentSeen is a document read from the platform, or handed over at start. A
+// nil Text means that the platform still has the version of ReadPlatform.Have.
 type DocumentSeen struct {
 	Version document.Version
 	Text    []byte
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -135,10 +135,14 @@
 func (s *Spread) StateName() string { return s.life.StateName() }
 
 // PlatformRead takes what one read of the platform gave. version is 0 when the
-// platform did not say.
+// platform did not say, and text nil when it has nothing else than what is in
+// force.
 func (s *Spread) PlatformRead(now time.Duration, version uint64, text []byte) {
 	s.now = max(s.now, now)
 	s.reads.seen(s.now)
+	if text == nil {
+		return
+	}
 	if s.life.State() == stateAsking {
 		s.ask.hold(version, text)
 		return
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -61,6 +61,7 @@
 		n.spread.Text(f.now, &wire.Document{Version: 2, Text: text(2, "b")})
 		n.spread.PlatformRead(f.now, 2, text(2, "b"))
 		n.spread.PlatformRead(f.now, 0, text(2, "b"))
+		n.spread.PlatformRead(f.now, 3, nil)
 	}
 	f.run(bound)
 	f.want(3)
