--- a/core/member/member.go
+++ b/core/member/member.go
@@ -107,7 +107,7 @@
 	links    linkChoice
 	// early holds the links of nodes that are not known yet.
 	early map[string]wire.NodeID
-	rank     rankCache
+	rank  rankCache
 }
 
 // group is the nodes of one service, sorted by target.
