Bound the counting of Explain and drop an unused way to mark leaving

Cause: Explain walked shared routes again and again, up to 32^11 steps in a document Parse accepts; View.Leaves had no caller, and a reply's reason may come from deeper than the node that sent it. Measured: go test ./core/... pass. Conclusion: none of it changes what a node does.

--- a/core/document/explain.go
+++ b/core/document/explain.go
@@ -40,7 +40,7 @@
 	if r == nil {
 		return nil, errors.Wrapf(ErrNoRoute, "%s %s at %s", method, path, service)
 	}
-	calls, depth := d.span(r)
+	calls, depth := d.span(r, map[*Route]span{})
 	e := &Explanation{
 		Service: service, Route: r.Name, Class: d.ClassName(r.Class), Idempotent: r.Idempotent, Wait: r.Wait,
 		Attempts: calls + r.Retries, Retries: r.Retries, RetryLost: r.RetryLost, Depth: depth,
@@ -64,18 +64,29 @@
 	return "retry_on is not_run: an attempt whose answer was lost is not repeated"
 }
 
+// maxCalls is where the counting of calls ends.
+const maxCalls = 1_000_000
+
+// span is what one run of a route leads to.
+type span struct{ calls, depth int }
+
 // span counts the calls that one run of r leads to without retries, r's own
-// included, and the services in the longest chain.
-func (d *Document) span(r *Route) (calls, depth int) {
+// included and at most maxCalls, and the services in the longest chain. known
+// holds the routes already counted.
+func (d *Document) span(r *Route, known map[*Route]span) (calls, depth int) {
+	if s, ok := known[r]; ok {
+		return s.calls, s.depth
+	}
 	calls = 1
 	for _, name := range r.Calls {
 		callee := d.Route(name)
 		if callee == nil {
 			continue
 		}
-		more, below := d.span(callee)
-		calls += more
+		more, below := d.span(callee, known)
+		calls = min(calls+more, maxCalls)
 		depth = max(depth, below)
 	}
+	known[r] = span{calls, depth + 1}
 	return calls, depth + 1
 }
--- a/core/member/heard.go
+++ b/core/member/heard.go
@@ -107,13 +107,6 @@
 	}
 }
 
-// Leaves notes that p itself refused work because it is leaving.
-func (v *View) Leaves(target string) {
-	if p := v.peers[target]; p != nil {
-		v.setState(p, wire.NodeLeaving)
-	}
-}
-
 // Tick finds linked nodes that fell silent and drops those that are neither
 // listed nor heard. The engine calls it a few times each second.
 func (v *View) Tick(now time.Duration) {
