--- a/core/admission/level.go
+++ b/core/admission/level.go
@@ -5,6 +5,10 @@
 const (
 	// levelInterval is the time between two moves of the level.
 	levelInterval = 50 * time.Millisecond
+	// newsIntervals is the number of intervals that a move takes to show.
+	newsIntervals = 2
+	// leastShare is the part of a class from which its demand can be told.
+	leastShare = 1.0 / 512
 	// demandWeight is the weight of the newest interval in the demand.
 	demandWeight = 0.3
 	// queueTarget is the queue time that keeps the upstream busy through short
@@ -35,8 +39,12 @@
 	classes int
 	// rate is the completions per second, smoothed.
 	rate float64
-	// demand is the calls per second of each class, were all let through.
-	demand [MaxClasses]float64
+	// seen is the calls offered per second of each class and shares the part of
+	// it that was let through, both smoothed; demand is what would be offered,
+	// were all let through.
+	seen, shares, demand [MaxClasses]float64
+	// past holds the levels of the last intervals, the oldest first.
+	past [newsIntervals]Rank
 
 	movedAt time.Duration
 	offers  [MaxClasses]int
@@ -49,12 +57,19 @@
 	open float64
 }
 
-func newLeveller() leveller { return leveller{level: RankAll, classes: MaxClasses, open: idleOpen} }
+func newLeveller() leveller {
+	l := leveller{level: RankAll, classes: MaxClasses, open: idleOpen}
+	for i := range l.past {
+		l.past[i] = RankAll
+	}
+	for i := range l.shares {
+		l.shares[i] = 1
+	}
+	return l
+}
 
 func (l *leveller) offered(r Rank) {
-	if r <= l.level {
-		l.offers[r.class()]++
-	}
+	l.offers[r.class()]++
 }
 
 // tick moves the level when it is time to.
@@ -83,24 +98,32 @@
 	l.waited = waits
 }
 
-// learnDemand returns the calls offered per second up to the level.
+// learnDemand returns the calls offered per second up to the level. What is
+// offered now was let through by the level of some intervals ago.
 func (l *leveller) learnDemand(elapsed time.Duration) float64 {
-	top, total := min(l.level.class(), l.classes-1), 0.0
-	for class := 0; class <= top; class++ {
-		share := l.shareOf(class)
-		seen := float64(l.offers[class]) / elapsed.Seconds() / share
-		l.demand[class] += demandWeight * (seen - l.demand[class])
-		total += l.demand[class] * share
+	total := 0.0
+	for class := range l.classes {
+		l.seen[class] += demandWeight * (float64(l.offers[class])/elapsed.Seconds() - l.seen[class])
+		l.shares[class] += demandWeight * (shareOf(class, l.past[0]) - l.shares[class])
+		if l.shares[class] > leastShare {
+			l.demand[class] = l.seen[class] / l.shares[class]
+		}
+		total += l.seen[class]
 	}
+	copy(l.past[:], l.past[1:])
+	l.past[len(l.past)-1] = l.level
 	return total
 }
 
-// shareOf returns the part of a class that the level lets through.
-func (l *leveller) shareOf(class int) float64 {
-	if class < l.level.class() {
+// shareOf returns the part of a class that a level lets through.
+func shareOf(class int, level Rank) float64 {
+	switch {
+	case class < level.class():
 		return 1
+	case class > level.class():
+		return 0
 	}
-	return float64(l.level.priority()+1) / Priorities
+	return float64(level.priority()+1) / Priorities
 }
 
 // wanted returns the calls per second that the upstream should be offered.
--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -14,7 +14,7 @@
 	// which their number tells its slots.
 	insideShare = 0.3
 	// doubt is the factor of a fall that a dip checks first.
-	doubt = 0.8
+	doubt = 0.95
 	// lightShare is the share of the limit below which a run certainly met no
 	// queue inside the upstream, also when the limit is far too high, and dipShare
 	// the one it dips to, below the slots when the limit is near them.
@@ -24,14 +24,17 @@
 	baseSamples = 100
 	// baseJump is the factor between a window of light runs and the baseline at
 	// which the window replaces it.
-	baseJump = 1.25
+	baseJump = 1.5
 	// baseSlack is the most that the baseline is above the own time of any window.
-	baseSlack = 1.15
+	baseSlack = 1.2
+	// quickerBy is the factor by which a window is below the baseline when the
+	// upstream has become quicker, which a dip then measures.
+	quickerBy = 1.2
 	// dipInterval is the time between two dips while the limit is reached.
 	dipInterval = 2 * time.Second
 	// dipPause is the least time between a dip and the next one that a
 	// suspected fall asks for.
-	dipPause = 400 * time.Millisecond
+	dipPause = 500 * time.Millisecond
 	// dipSamples is the number of light runs that end a dip.
 	dipSamples = 50
 	// maxDip ends a dip that finds no runs.
@@ -158,8 +161,9 @@
 	l.light = window{}
 	if mean > l.base*baseJump || mean < l.base/baseJump {
 		l.base = mean
-		l.baseRuns = dipSamples
+		return
 	}
+	l.base = (l.base + mean) / 2
 }
 
 // step moves the limit after a window.
@@ -167,10 +171,15 @@
 	w, total, reached := l.window, l.total/float64(l.window.count), l.reached
 	l.window, l.total, l.reached = window{}, 0, false
 	l.own = w.mean()
+	quicker := l.own*quickerBy < l.base
 	l.base = min(l.base, l.own*baseSlack)
 	if l.dipping {
 		return
 	}
+	if quicker && l.settledOnce && l.dipDue(now, dipPause) {
+		l.dip(now)
+		return
+	}
 	rate := float64(w.count-1) / (now - w.began).Seconds()
 	target, known := l.target(rate, rate*total, reached)
 	if !known {
