--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -6,7 +6,6 @@
 	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/invariant"
-	"github.com/shallotspool/shallotspool/core/wire"
 )
 
 // retryLater is what a refused caller is told when nothing better is known.
@@ -45,7 +44,7 @@
 	if n.doc == nil {
 		return ReasonNoDocument
 	}
-	if n.state >= wire.NodeLeaving && c.origin != OriginUpstream {
+	if n.refusesNew(c.origin) {
 		return ReasonLeaving
 	}
 	if len(n.calls) >= n.cfg.MaxCalls {
@@ -133,7 +132,7 @@
 		c.deadline = min(c.deadline, parent.call.deadline)
 	}
 	c.again, c.rerun = parent.call.rerun, parent.call.rerun
-	c.loan = parent.pool.LendShare(n.firstCost(c))
+	c.loan = parent.pool.LendShare(len(parent.call.route.Calls)-parent.made, n.firstCost(c))
 	c.pool = budget.NewPool(c.loan)
 	parent.childStarted(n.now, c)
 }
