Add make demo: eight real nodes through a surge over loopback

Cause: nothing showed the whole path with real nodes. Change: harness/fleet runs nodes, upstreams and a platform in one process; harness/demo drives normal load, a document change, a graceful stop and start of one node, a surge on a slowed deep service and recovery, and fails on a broken promise.

--- a/harness/cmd/harness/main.go
+++ b/harness/cmd/harness/main.go
@@ -21,7 +21,7 @@
 func main() {
 	root := &ffcli.Command{
 		ShortUsage:  "harness <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{measureCommand(), benchCommand()},
+		Subcommands: []*ffcli.Command{measureCommand(), benchCommand(), demoCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/spread"
 	"github.com/shallotspool/shallotspool/core/status"
 	"github.com/shallotspool/shallotspool/core/wire"
 	"github.com/shallotspool/shallotspool/node/internal/admin"
@@ -142,6 +143,7 @@
 		Self: self, Service: s.Service, DataCentre: s.DataCentre, Seed: self.Incarnation,
 		Policy:   engine.Full(),
 		MaxCalls: s.Calls,
+		AskPeers: spread.DefaultAsk,
 		Admission: admission.Config{
 			Initial: firstLimit, Min: 1, Max: s.UpstreamConnections, MaxQueue: queueShare * s.Calls,
 		},
--- a/node/internal/attempt/request.go
+++ b/node/internal/attempt/request.go
@@ -40,6 +40,7 @@
 	h.Set(header.Class, strconv.Itoa(int(a.Class)))
 	h.Set(header.Budget, strconv.Itoa(a.Tokens))
 	h.Set(header.Depth, strconv.Itoa(a.Depth))
+	h.Set(header.Priority, strconv.Itoa(int(a.Priority)))
 	h.Set(header.Heard, header.FormatStamp(a.Heard))
 	if a.Rerun {
 		h.Set(header.Rerun, "1")
--- a/node/internal/header/fields.go
+++ b/node/internal/header/fields.go
@@ -37,6 +37,7 @@
 	{name: Send, bit: 256, from: engine.OriginPeer, required: true, set: setSend},
 	{name: Stage, bit: 512, from: engine.OriginPeer, required: true, set: setStage},
 	{name: Heard, bit: 1024, from: engine.OriginPeer, set: setHeard},
+	{name: Priority, bit: 4096, from: engine.OriginPeer, required: true, set: setPriority},
 	{name: Rerun, bit: 2048, from: engine.OriginPeer, set: setRerun},
 }
 
@@ -88,6 +89,12 @@
 	return detail
 }
 
+func setPriority(p *parser, value string) string {
+	n, detail := number(value, 0, maxPriority)
+	p.call.Priority = uint16(n)
+	return detail
+}
+
 // noAttempt stands for a dispatch of an earlier run of this node: it names no
 // attempt, and is not the same as naming none.
 const noAttempt = engine.AttemptID(math.MaxUint64)
--- a/node/internal/header/names.go
+++ b/node/internal/header/names.go
@@ -13,6 +13,7 @@
 	Budget       = "Shallot-Budget"
 	Class        = "Shallot-Class"
 	Depth        = "Shallot-Depth"
+	Priority     = "Shallot-Priority"
 	Send         = "Shallot-Send"
 	Stage        = "Shallot-Stage"
 	Heard        = "Shallot-Heard"
@@ -34,6 +35,8 @@
 	maxName  = 64
 	maxWait  = 3600000
 	maxSmall = 255
+	// maxPriority is the largest 16-bit number.
+	maxPriority = 1<<16 - 1
 )
 
 // hopByHop are the lines that belong to one connection only.
--- a/node/internal/header/parse.go
+++ b/node/internal/header/parse.go
@@ -36,6 +36,8 @@
 	Send    wire.SendID
 	Heard   wire.Stamp
 	Rerun   bool
+	// Priority is the call's within its class.
+	Priority uint16
 	// Extra holds the caller's own header lines in wire form.
 	Extra []byte
 }
--- a/node/internal/header/parse_test.go
+++ b/node/internal/header/parse_test.go
@@ -53,7 +53,7 @@
 
 func TestPeerLinesAreRead(t *testing.T) {
 	var h fasthttp.RequestHeader
-	lines := "POST /x HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 250\r\nShallot-Budget: 2\r\nShallot-Class: 1\r\nShallot-Depth: 3\r\n" +
+	lines := "POST /x HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 250\r\nShallot-Budget: 2\r\nShallot-Class: 1\r\nShallot-Depth: 3\r\nShallot-Priority: 12\r\n" +
 		"Shallot-Send: a-1/7/9\r\nShallot-Stage: own\r\nShallot-Heard: 4/5\r\nShallot-Rerun: 1\r\nX-Own: v\r\n\r\n"
 	if err := h.Read(bufio.NewReader(strings.NewReader(lines))); err != nil {
 		t.Fatal(err)
@@ -63,10 +63,10 @@
 		t.Fatal(err)
 	}
 	if FormatSend(c.Send) != "a-1/7/9" || FormatStage(c.Stage) != "own" || c.Tokens != 2 || c.Class != 1 ||
-		c.Depth != 3 || FormatStamp(c.Heard) != "4/5" || !c.Rerun || string(c.Extra) != "X-Own: v\r\n" {
+		c.Depth != 3 || c.Priority != 12 || FormatStamp(c.Heard) != "4/5" || !c.Rerun || string(c.Extra) != "X-Own: v\r\n" {
 		t.Fatalf("got %+v", c)
 	}
-	for _, name := range []string{Wait, Budget, Class, Depth, Send, Stage} {
+	for _, name := range []string{Wait, Budget, Class, Depth, Priority, Send, Stage} {
 		var without fasthttp.RequestHeader
 		h.CopyTo(&without)
 		without.Del(name)
--- a/node/internal/server/server.go
+++ b/node/internal/server/server.go
@@ -140,7 +140,7 @@
 		},
 		Wait: call.Wait, Parent: call.Parent, Stage: call.Stage, Class: call.Class,
 		Tokens: call.Tokens, Depth: call.Depth, Send: call.Send,
-		Heard: call.Heard, Rerun: call.Rerun,
+		Heard: call.Heard, Rerun: call.Rerun, Priority: call.Priority,
 	}
 }
 
