Pass on only the news that the list does not give

Cause: harness spread -nodes 1000: a fleet that starts together told everybody of everybody; 20,669 B/s sent a node and 3.2 ms/s of processor 15 to 25 s after the start, over the target of 20 KB/s, and 1 of 926 unlinked nodes did not hear of a leaving one. Change: the first start of a listed instance is not passed on; new runs, other addresses, unknown instances and leaving are, to six links instead of four.

--- a/core/engine/members.go
+++ b/core/engine/members.go
@@ -14,7 +14,7 @@
 	maxListInterval   = 32 * time.Second
 	// newsFanOut is the number of linked nodes that news of a member are passed
 	// on to.
-	newsFanOut = 4
+	newsFanOut = 6
 	// newsPerControl bounds the news passed on in each control interval, and
 	// maxNews those that wait.
 	newsPerControl = 4
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -148,6 +148,13 @@
 	if !v.Told(2, news) || v.Told(3, news) {
 		t.Fatal("news that the node itself told are not passed on once")
 	}
+	first := &wire.Member{Node: run(3, 5), Service: "s", DataCentre: "dc0", State: wire.NodeServing}
+	if v.Told(4, first) {
+		t.Fatal("the start of an instance that everybody has in the list is passed on")
+	}
+	if next := (&wire.Member{Node: run(3, 6), Service: "s", DataCentre: "dc0", State: wire.NodeStarting}); !v.Told(5, next) {
+		t.Fatal("a new run is not passed on")
+	}
 }
 
 // TestSilence: a linked node that misses the heartbeats it promised gets no new
--- a/core/member/rumour.go
+++ b/core/member/rumour.go
@@ -6,26 +6,27 @@
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
-// Told takes what another node passed on about a node, and reports whether it
-// was news: a run nobody told of yet, or a later state of the run told of. News
-// are worth passing on, once, also when the node itself was heard before.
+// Told takes what another node passed on about a node, and reports whether to
+// pass it on: once, and only what others may not know from the list.
 func (v *View) Told(now time.Duration, m *wire.Member) bool {
 	if m.Node.Target == v.cfg.Self.Target {
 		return false
 	}
+	inst := instanceOf(m)
 	p := v.peers[m.Node.Target]
-	if p == nil {
-		if p = v.add(instanceOf(m)); p == nil {
+	unknown := p == nil
+	if unknown {
+		if p = v.add(inst); p == nil {
 			return false
 		}
-		p.heard = now
 	}
 	if m.Node.Incarnation < p.Incarnation {
 		return false
 	}
 	news := m.Node.Incarnation > p.toldRun || m.Node.Incarnation == p.toldRun && m.State > p.toldState
+	matters := unknown || m.State >= wire.NodeLeaving || v.replaces(p, m, inst)
 	if m.Node.Incarnation > p.Incarnation {
-		v.move(p, instanceOf(m))
+		v.move(p, inst)
 	}
 	v.restart(p, m.Node.Incarnation)
 	v.setState(p, m.State)
@@ -33,7 +34,18 @@
 		p.toldRun, p.toldState = m.Node.Incarnation, m.State
 		p.heard, p.gone = now, false
 	}
-	return news
+	return news && matters
+}
+
+// replaces tells whether m is a new run of p, or p with other addresses than
+// are known. The first start of a listed instance is neither, so that a fleet
+// that starts together does not tell everybody of everybody.
+func (v *View) replaces(p *Peer, m *wire.Member, inst Instance) bool {
+	if m.Node.Incarnation > p.Incarnation && p.Incarnation != 0 {
+		return true
+	}
+	inst.Leaving = p.Leaving
+	return inst != p.Instance
 }
 
 // move takes the addresses of a new run over; the list may lag behind them.
