Keep the promises through faults: owner, fences, pauses, poison and a soak

Cause: a key table alone does not hold what callers are told: late copies, lost answers, restarts, pauses and crashes were not provided for. Change: the owner joins, holds and derives ownership; sends bear their receiver's stamp and are received once; a lost send is fenced before its caller is told; a node notices that it slept; what was in flight at a crash is suspect. harness/soak runs seeded schedules of faults and checks from outside; its subcommand is soak. Found and mended while it was built: a fence that came after the receipts were forgotten was answered with not run; a copy that reached a restarted node was refused as not run though the first one ran.

--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -16,12 +16,16 @@
 func (n *Node) arrive(ev *CallArrived) {
 	c := &call{
 		id: ev.ID, origin: ev.Origin, stage: ev.Stage, request: ev.Request,
-		arrived: n.now, send: ev.Send, heapIndex: -1,
+		arrived: n.now, send: ev.Send, heard: ev.Heard, heapIndex: -1,
 	}
 	if reason := n.resolve(c, ev); reason != ReasonNone {
 		n.refuseArrival(c, reason)
 		return
 	}
+	if reply := n.receive(c); reply.Outcome != 0 {
+		n.replyTo(c, reply)
+		return
+	}
 	n.calls[c.id] = c
 	n.deadlines.add(c)
 	if c.origin == OriginPeer {
@@ -41,9 +45,12 @@
 	if n.doc == nil {
 		return ReasonNoDocument
 	}
-	if n.state >= wire.NodeLeaving && c.origin != OriginUpstream {
+	if n.state >= wire.NodeLeaving && c.origin != OriginUpstream && !n.faults().WorkWhileLeaving {
 		return ReasonLeaving
 	}
+	if ev.Origin == OriginUpstream && ev.Parent != 0 && n.attempts[ev.Parent] == nil && n.cfg.Policy.Ownership {
+		return ReasonCancelled
+	}
 	if len(n.calls) >= n.cfg.MaxCalls {
 		return ReasonOverload
 	}
@@ -55,6 +62,9 @@
 	if c.deadline <= n.now {
 		return ReasonDeadline
 	}
+	if n.catchingUp(c) {
+		return ReasonWokeLate
+	}
 	return ReasonNone
 }
 
@@ -89,6 +99,7 @@
 	default:
 		c.pool = budget.NewPool(c.route.Retries)
 	}
+	c.allotment = c.pool.Free()
 }
 
 // adopt makes c a child of the dispatch on whose behalf the upstream calls.
@@ -109,8 +120,15 @@
 	if reason == ReasonNoRoute {
 		reply = Reply{Outcome: OutcomeBadRequest, Reason: reason}
 	}
+	n.refuseSend(c, &reply)
+	n.replyTo(c, reply)
+}
+
+// replyTo answers a call that is not registered.
+func (n *Node) replyTo(c *call, reply Reply) {
 	reply.Tokens = c.pool.Free()
 	reply.Load = n.Load()
+	reply.Stamp = n.stamp()
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
 }
 
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -22,8 +22,12 @@
 	arrived  time.Duration
 	deadline time.Duration
 	pool     budget.Pool
+	// allotment is the number of tokens the call began with.
+	allotment int
 	// send is the sending node's name for it, for OriginPeer.
 	send wire.SendID
+	// heard is the stamp of this node that came with it.
+	heard wire.Stamp
 	// parent is the dispatch on whose behalf the own upstream calls, and loan
 	// the tokens it lent.
 	parent *attempt
@@ -37,6 +41,17 @@
 	// mayHaveRun is true once any attempt's fate is not certain.
 	mayHaveRun bool
 	heapIndex  int
+	// joined are the calls that wait for this one's answer.
+	joined []*call
+	// keyed is what the parent remembers of the call.
+	keyed *child
+	// fence is the open question about a send, and fencedBy the node that waits
+	// to learn what became of this call.
+	fence    *fence
+	fencedBy wire.NodeID
+	restamps int
+	// print is the fingerprint, 0 until it is needed.
+	print uint64
 }
 
 // rank is the admission rank of c.
@@ -56,6 +71,10 @@
 	waiting bool
 	started time.Duration
 	send    wire.SendID
+	// heard is the receiver's stamp that went with a send.
+	heard wire.Stamp
+	// childKeys are the keys of calls that are not idempotent, made meanwhile.
+	childKeys map[string]*child
 	// loan is the tokens that went with a send.
 	loan int
 	// pool holds the tokens for calls the own upstream makes meanwhile.
--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/document"
-	"github.com/shallotspool/shallotspool/core/owner"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -15,9 +14,7 @@
 	n.expire()
 	n.guard.Tick(n.now)
 	n.drainQueue()
-	if n.keys != nil {
-		n.keys.Tick(n.now)
-	}
+	n.forgetOld()
 	if n.now >= n.readAt {
 		n.readAt = n.now + readInterval
 		n.emit(&ReadPlatform{Resource: ResourceMembers})
@@ -31,7 +28,7 @@
 }
 
 func (n *Node) sendStates() {
-	state := &wire.State{State: n.state, Load: n.Load()}
+	state := &wire.State{State: n.state, Load: n.Load(), Stamp: n.stamp()}
 	if n.doc != nil {
 		state.Document = uint64(n.doc.Version)
 	}
@@ -50,6 +47,13 @@
 	switch f := ev.Frame; {
 	case f.State != nil:
 		p.State, p.Load = f.State.State, f.State.Load
+		n.hear(ev.From.Target, f.State.Stamp)
+	case f.Fence != nil:
+		n.fenceAsked(ev.From, f.Fence)
+	case f.Fenced != nil:
+		n.fenced(f.Fenced)
+	case f.Suspect != nil:
+		n.suspectHeard(ev.From, f.Suspect)
 	case f.Cancel != nil:
 		if c := n.sends[f.Cancel.Send]; c != nil {
 			n.callerGone(c.id)
@@ -61,11 +65,12 @@
 	if p := n.view.Peer(ev.Peer.Target); p != nil {
 		p.Linked = ev.Up
 		p.Incarnation = max(p.Incarnation, ev.Peer.Incarnation)
+		n.hear(ev.Peer.Target, wire.Stamp{Incarnation: ev.Peer.Incarnation})
 	}
 }
 
 func (n *Node) documentSeen(ev *DocumentSeen) {
-	if n.doc != nil && ev.Version <= n.doc.Version {
+	if n.doc != nil && ev.Version <= n.doc.Version && !n.faults().OlderDocument {
 		return
 	}
 	doc, err := document.Parse(ev.Text)
@@ -73,12 +78,10 @@
 		n.emit(&Log{Level: LogError, Message: "document refused", Fields: []Field{{"reason", err.Error()}}})
 		return
 	}
+	before := n.doc
+	n.checkNewer(before, doc)
 	n.doc = doc
-	if n.keys == nil {
-		n.keys = owner.NewTable(owner.Config{
-			Window: doc.ResendWindow, MaxKeys: doc.Answers.Keys, MaxBytes: doc.Answers.Bytes,
-		}, n.now)
-	}
+	n.followDocument(before)
 }
 
 func (n *Node) membersSeen(ev *MembersSeen) {
@@ -93,13 +96,16 @@
 func (n *Node) stop() {
 	if n.state < wire.NodeLeaving {
 		n.state = wire.NodeLeaving
+		n.leftAt = n.now
 		n.sendStates()
+		n.refuseQueued(ReasonLeaving)
 	}
 	n.checkStopped()
 }
 
 func (n *Node) checkStopped() {
-	if n.state == wire.NodeLeaving && len(n.calls) == 0 {
+	if n.state == wire.NodeLeaving && (len(n.calls) == 0 || n.faults().CutOnStop) {
+		n.checkNothingOpen()
 		n.state = wire.NodeLeft
 		n.sendStates()
 		n.emit(&Stopped{})
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -15,7 +15,25 @@
 	}
 	c := a.call
 	reply := ev.Reply
+	if n.faults().SwapAnswers {
+		a = n.wrongAttempt(a)
+		c = a.call
+	}
+	n.checkAnswer(a, reply)
 	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
+	n.hear(a.target, reply.Stamp)
+	n.learnCrash(a, reply)
+	switch {
+	case reply.Outcome == OutcomeNotRun && n.restamp(c, a, reply):
+	case a.stage == StageOwn:
+		n.answeredByOwner(c, reply)
+	default:
+		n.afterAnswer(c, reply)
+	}
+	n.drainQueue()
+}
+
+func (n *Node) afterAnswer(c *call, reply Reply) {
 	switch reply.Outcome {
 	case OutcomeNotRun:
 		n.afterRefusal(c, reply.Reason)
@@ -26,8 +44,10 @@
 		n.afterError(c, reply)
 	default:
 		n.end(c, reply)
+		if n.faults().AnswerTwice {
+			n.end(c, reply)
+		}
 	}
-	n.drainQueue()
 }
 
 func resultOf(o Outcome) balancer.Result {
@@ -53,10 +73,15 @@
 		left = a.loan
 	}
 	n.endAttempt(a, balancer.ResultFailed, left)
-	if ev.Cause == FailureNotSent {
+	switch {
+	case ev.Cause == FailureNotSent && a.stage == StageOwn:
+		n.refuse(c, ReasonOwnerUnreachable)
+	case ev.Cause == FailureNotSent:
 		n.afterRefusal(c, ReasonNoTarget)
-	} else {
-		c.mayHaveRun = true
+	case n.fenceable(a):
+		n.askFate(a, false, ReasonAttemptLost)
+	default:
+		c.mayHaveRun = !n.faults().LostIsNotRun
 		n.afterLoss(c)
 	}
 	n.drainQueue()
@@ -75,6 +100,7 @@
 	}
 	a.call.pool.Return(a.loan, left)
 	n.closeAttempt(a)
+	n.settleTrial(a, r == balancer.ResultOK)
 }
 
 // afterRefusal goes on with a call whose last attempt certainly did not run.
@@ -88,14 +114,19 @@
 
 // afterLoss goes on with a call whose last attempt may have run.
 func (n *Node) afterLoss(c *call) {
-	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership
-	if repeatable && n.mayRetry(c) && n.takeToken(c) {
+	if n.mayRetryLost(c) && n.takeToken(c) {
 		n.try(c)
 		return
 	}
 	n.end(c, Reply{Outcome: OutcomeUnknown, Reason: ReasonAttemptLost})
 }
 
+// mayRetryLost tells whether c may be tried again though it may have run.
+func (n *Node) mayRetryLost(c *call) bool {
+	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership || n.faults().RetryLost
+	return repeatable && n.mayRetry(c)
+}
+
 // afterError goes on with a call that an upstream failed. A node that is not
 // bound by a budget repeats it, as clients of plain proxies do.
 func (n *Node) afterError(c *call, reply Reply) {
@@ -113,6 +144,9 @@
 
 // takeToken takes what one more attempt costs and reports whether c had it.
 func (n *Node) takeToken(c *call) bool {
+	if n.faults().FreeRetries {
+		return true
+	}
 	if n.cfg.Policy.Budget {
 		return c.pool.Spend()
 	}
@@ -121,19 +155,20 @@
 
 // refuse ends c without a further attempt.
 func (n *Node) refuse(c *call, reason Reason) {
-	if c.mayHaveRun {
-		n.end(c, Reply{Outcome: OutcomeUnknown, Reason: reason})
-		return
-	}
-	n.end(c, Reply{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryLater})
+	n.refuseAs(c, Reply{Reason: reason, RetryAfter: retryLater})
 }
 
 // end answers c and forgets it.
 func (n *Node) end(c *call, reply Reply) {
-	n.settleOwner(c, reply)
+	if !n.checkEnd(c, reply) {
+		return
+	}
 	n.forget(c)
+	n.settleOwner(c, reply)
+	n.settleSend(c, reply)
 	reply.Tokens = c.pool.Free()
 	reply.Load = n.Load()
+	reply.Stamp = n.stamp()
 	n.settleParent(c)
 	n.measureEnd(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
@@ -172,7 +207,7 @@
 
 func (n *Node) callerGone(id CallID) {
 	c := n.calls[id]
-	if c == nil {
+	if c == nil || c.fence != nil || n.keepsRunning(c) {
 		return
 	}
 	n.abandon(c)
@@ -183,6 +218,9 @@
 // expire ends the calls whose deadline has come.
 func (n *Node) expire() {
 	for c := n.deadlines.first(); c != nil && c.deadline <= n.now; c = n.deadlines.first() {
+		if n.fenceAtDeadline(c) {
+			continue
+		}
 		n.abandon(c)
 		n.refuse(c, ReasonDeadline)
 	}
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -13,6 +13,7 @@
 	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/owner"
+	"github.com/shallotspool/shallotspool/core/poison"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -30,6 +31,8 @@
 	Admission  admission.Config
 	// MaxCalls is the number of calls the node holds at once.
 	MaxCalls int
+	// Faults breaks promises on purpose, in tests only; nil breaks none.
+	Faults *Faults
 }
 
 // Node is the state machine. It is not safe for concurrent use.
@@ -43,6 +46,9 @@
 	balancer *balancer.Balancer
 	guard    *admission.Controller
 	keys     *owner.Table
+	issuer   *owner.Issuer
+	receipts *owner.Receipts
+	suspects *poison.Table
 	checker  invariant.Checker
 
 	calls    map[CallID]*call
@@ -53,6 +59,20 @@
 	sends    map[wire.SendID]*call
 	nextID   AttemptID
 	nextSend uint64
+	// owned finds the call that runs a key, and fences the open question about
+	// a send.
+	owned  map[string]*call
+	fences map[wire.SendID]*fence
+	// trials are the runs of suspect requests, by fingerprint.
+	trials map[uint64]*trial
+	// heard holds the latest stamp of each peer, by target name.
+	heard map[string]wire.Stamp
+	moved []movedKeys
+
+	started time.Duration
+	// wokeUntil is when the node has caught up after a pause.
+	wokeUntil time.Duration
+	leftAt    time.Duration
 
 	state     wire.NodeState
 	heartbeat time.Duration
@@ -64,6 +84,16 @@
 	return &Node{
 		cfg:      cfg,
 		now:      now,
+		started:  now,
+		issuer:   owner.NewIssuer(cfg.Self.Target, cfg.Self.Incarnation),
+		receipts: owner.NewReceipts(maxReceipts),
+		suspects: poison.New(poison.Config{Remember: suspicionLasts, Max: maxSuspects}),
+		owned:    map[string]*call{},
+		fences:   map[wire.SendID]*fence{},
+		trials:   map[uint64]*trial{},
+		heard:    map[string]wire.Stamp{},
+		// Attempts of an earlier run of the node must not be taken for these.
+		nextID:   AttemptID(cfg.Self.Incarnation << 32),
 		view:     member.NewView(),
 		balancer: balancer.New(cfg.Seed),
 		guard:    admission.New(cfg.Admission),
@@ -78,8 +108,8 @@
 // about it, in order. now never goes back. The slice is the engine's own until
 // the next Step.
 func (n *Node) Step(now time.Duration, ev Event) []Action {
-	n.now = max(n.now, now)
 	n.out = n.out[:0]
+	n.notePause(max(n.now, now))
 	switch ev := ev.(type) {
 	case *CallArrived:
 		n.arrive(ev)
@@ -101,7 +131,9 @@
 		n.tick()
 	case *StopRequested:
 		n.stop()
-	case *HealthSeen, *UpstreamCrashed:
+	case *UpstreamCrashed:
+		n.upstreamCrashed()
+	case *HealthSeen:
 	}
 	return n.out
 }
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -9,6 +9,10 @@
 
 // try makes one attempt at c on a target of its service.
 func (n *Node) try(c *call) {
+	n.checkRepeat(c)
+	if n.tryPoison(c) {
+		return
+	}
 	peer := n.balancer.Pick(n.view.Service(c.route.Service), balancer.Options{
 		Exclude:    n.excluded(c),
 		Rank:       uint16(c.rank()),
@@ -40,16 +44,24 @@
 	a := n.newAttempt(c, target, stage)
 	a.send = wire.SendID{Node: n.cfg.Self, Sequence: n.nextSend}
 	a.loan = c.pool.LendAll()
+	a.heard = n.heard[target]
 	n.balancer.Started(target)
 	n.emit(&SendCall{
 		Attempt: a.id, Target: target, Request: c.request,
 		Wait: c.deadline - n.now, Stage: stage, Class: c.class,
-		Tokens: a.loan, Depth: c.depth, Send: a.send,
+		Tokens: a.loan, Depth: c.depth, Send: a.send, Heard: a.heard,
 	})
 }
 
-// runHere asks the guard to run c on the own upstream.
+// runHere runs c on the own upstream, unless it is suspected of crashing it.
 func (n *Node) runHere(c *call) {
+	if !n.tryPoison(c) {
+		n.offerHere(c)
+	}
+}
+
+// offerHere asks the guard to run c on the own upstream.
+func (n *Node) offerHere(c *call) {
 	a := n.newAttempt(c, n.cfg.Self.Target, StageRun)
 	a.local = true
 	switch n.guard.Offer(n.now, n.itemOf(a)) {
@@ -90,6 +102,7 @@
 // dispatch hands a to the own upstream.
 func (n *Node) dispatch(a *attempt) {
 	c := a.call
+	n.checkDispatch(a)
 	a.waiting = false
 	a.started = n.now
 	a.pool = budget.NewPool(c.pool.LendAll())
--- a/core/wire/frame.go
+++ b/core/wire/frame.go
@@ -91,6 +91,8 @@
 // Fence asks the receiver never to run a send it has not yet run.
 type Fence struct {
 	Send SendID `cbor:"1,keyasint"`
+	// Heard is the stamp that went with the send.
+	Heard Stamp `cbor:"2,keyasint"`
 }
 
 // Fenced answers Fence.
--- a/harness/cmd/harness/main.go
+++ b/harness/cmd/harness/main.go
@@ -12,6 +12,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/shallotspool/shallotspool/harness/measure"
+	"github.com/shallotspool/shallotspool/harness/soak"
 )
 
 // examples is the folder of the example documents, seen from the root of the
@@ -21,7 +22,7 @@
 func main() {
 	root := &ffcli.Command{
 		ShortUsage:  "harness <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{measureCommand()},
+		Subcommands: []*ffcli.Command{measureCommand(), soakCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(context.Background(), os.Args[1:])
@@ -49,3 +50,17 @@
 		},
 	}
 }
+
+func soakCommand() *ffcli.Command {
+	var o soak.Options
+	flags := flag.NewFlagSet("soak", flag.ContinueOnError)
+	flags.Uint64Var(&o.Seeds, "seeds", 40, "number of seeds")
+	flags.Uint64Var(&o.From, "from", 1, "first seed")
+	return &ffcli.Command{
+		Name: "soak", ShortUsage: "harness soak [flags]", FlagSet: flags,
+		ShortHelp: "run randomised schedules of faults and check what must always hold",
+		Exec: func(context.Context, []string) error {
+			return soak.All(o, os.Stdout, os.Stderr)
+		},
+	}
+}
--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -72,7 +72,9 @@
 
 // requestFor is the call an upstream makes while it works on parent.
 func (w *World) requestFor(name string, parent *engine.Request) *engine.Request {
-	return newRequest(w.route(name), parent.Key+"/"+name)
+	r := newRequest(w.route(name), parent.Key+"/"+name)
+	r.Header = parent.Header
+	return r
 }
 
 func (w *World) send(r *request) {
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -5,6 +5,7 @@
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
@@ -35,6 +36,7 @@
 // Start runs a new incarnation of the node; it remembers nothing.
 func (h *Host) Start() {
 	h.incarnation++
+	h.markLeaving(false)
 	h.alive, h.paused, h.backlog = true, false, nil
 	h.waiting = map[engine.CallID]func(engine.Reply){}
 	h.remote = map[engine.AttemptID]*Host{}
@@ -75,6 +77,48 @@
 	}
 }
 
+// Crash ends the upstream; a new one takes its place at once.
+func (h *Host) Crash() {
+	h.Upstream.reset()
+	h.Step(&engine.UpstreamCrashed{})
+}
+
+// Stop asks the node to stop gracefully.
+func (h *Host) Stop() {
+	h.markLeaving(true)
+	h.Step(&engine.StopRequested{})
+}
+
+func (h *Host) markLeaving(leaving bool) {
+	h.w.After(h.w.ListLag, func() {
+		list := append([]member.Instance(nil), h.w.members...)
+		for i := range list {
+			if list[i].Target == h.Target {
+				list[i].Leaving = leaving
+			}
+		}
+		h.w.members = list
+	})
+}
+
+// Open returns the number of calls the node has not answered yet.
+func (h *Host) Open() int { return len(h.waiting) }
+
+// Alive tells whether the node runs, paused or not.
+func (h *Host) Alive() bool { return h.alive }
+
+// Paused tells whether the node is paused.
+func (h *Host) Paused() bool { return h.paused }
+
+// Service returns the name of the service the node stands for.
+func (h *Host) Service() string { return h.service }
+
+// DataCentre returns the name of the node's data centre.
+func (h *Host) DataCentre() string { return h.centre }
+
+// Incarnation counts the starts of the node.
+func (h *Host) Incarnation() uint64 { return h.incarnation }
+
 func (h *Host) tick(incarnation uint64) {
 	if !h.alive || h.incarnation != incarnation {
 		return
@@ -106,6 +150,9 @@
 	h.w.Stats.Steps++
 	actions := append([]engine.Action(nil), h.Node.Step(h.w.now, ev)...)
 	for _, a := range actions {
+		if h.w.OnAction != nil {
+			h.w.OnAction(h, a)
+		}
 		h.carryOut(a)
 	}
 }
@@ -153,8 +200,8 @@
 			h.w.deliver(to, h, fail(engine.FailureNotSent), func() {})
 			return
 		}
-		target := to.incarnation
-		to.Call(ev, func(r engine.Reply) {
+		target, copied := to.incarnation, *ev
+		to.Call(&copied, func(r engine.Reply) {
 			if to.incarnation != target {
 				return
 			}
@@ -202,6 +249,9 @@
 
 func (h *Host) read(r engine.Resource) {
 	incarnation := h.incarnation
+	if h.w.PlatformAway {
+		return
+	}
 	h.w.After(2*time.Millisecond, func() {
 		if r == engine.ResourceMembers {
 			h.stepAs(incarnation, &engine.MembersSeen{List: h.w.members})
--- a/harness/sim/upstream.go
+++ b/harness/sim/upstream.go
@@ -41,6 +41,9 @@
 	return &Upstream{Shape: shape, Slow: 1, h: h, jobs: map[engine.AttemptID]*job{}}
 }
 
+// Epoch counts the crashes.
+func (u *Upstream) Epoch() int { return u.epoch }
+
 func (u *Upstream) reset() {
 	u.epoch++
 	u.busy, u.waiting, u.jobs = 0, nil, map[engine.AttemptID]*job{}
@@ -75,6 +78,9 @@
 	u.busy++
 	j.started = u.h.w.now
 	u.h.w.Stats.ran(j.request)
+	if u.h.w.OnRun != nil {
+		u.h.w.OnRun(u.h, j.request)
+	}
 	if service := u.h.w.Doc.Service(u.h.service); service != nil {
 		if route := service.Resolve(j.request.Method, j.request.Path); route != nil {
 			j.calls = route.Calls
--- a/harness/sim/world.go
+++ b/harness/sim/world.go
@@ -67,8 +67,17 @@
 	Doc    *document.Document
 	// Cut tells which pairs of data centres have no connection.
 	Cut func(a, b string) bool
-	// Loss is the share of messages between nodes that are lost.
-	Loss float64
+	// Loss and Copies are the shares of messages between nodes that are lost
+	// and that come again after up to MaxDelay, which also disorders them.
+	Loss, Copies float64
+	MaxDelay     time.Duration
+	// PlatformAway stops the platform's answers.
+	PlatformAway bool
+	// ListLag is how far the member list is behind.
+	ListLag time.Duration
+	// OnRun and OnAction see what upstreams start and what nodes ask for.
+	OnRun    func(h *Host, r *engine.Request)
+	OnAction func(h *Host, a engine.Action)
 
 	setup   Setup
 	text    []byte
@@ -142,7 +151,22 @@
 		w.After(delay, lost)
 		return
 	}
+	if w.MaxDelay > 0 && w.Random.IntN(8) == 0 {
+		delay += time.Duration(w.Random.Int64N(int64(w.MaxDelay) / 64))
+	}
 	w.After(delay, do)
+	if w.Copies > 0 && w.Random.Float64() < w.Copies {
+		w.After(delay+time.Duration(w.Random.Int64N(int64(w.MaxDelay))), do)
+	}
+}
+
+// Publish replaces the document that the platform serves.
+func (w *World) Publish(text []byte) error {
+	doc, err := document.Parse(text)
+	if err == nil {
+		w.Doc, w.text = doc, text
+	}
+	return err
 }
 
 // jitter draws an exponential time of the given mean.
--- /dev/null
+++ b/harness/soak/document.go
@@ -0,0 +1,28 @@
+package soak
+
+import "fmt"
+
+// documentText returns the document of a soak in the given version. The window
+// is short so that a run sees keys being forgotten.
+func documentText(version int) []byte {
+	return fmt.Appendf(nil, `version: %d
+name: soak
+classes: [payment, lookup]
+resend_window: 6s
+answers: {bytes: 4096, keys: 400}
+services:
+  shop:
+    targets: 3
+    routes:
+      find: {method: GET, path: /find, class: lookup, idempotent: true, wait: 1500ms, retries: 2, calls: [stock.look]}
+      buy: {method: POST, path: /buy, class: payment, idempotent: false, wait: 2s, retries: 2, calls: [stock.look, pay.charge]}
+  stock:
+    targets: 3
+    routes:
+      look: {method: GET, path: /look, class: lookup, idempotent: true, wait: 1s, retries: 1}
+  pay:
+    targets: 3
+    routes:
+      charge: {method: POST, path: /charge, class: payment, idempotent: false, wait: 1500ms, retries: 1}
+`, version)
+}
