--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -129,6 +129,7 @@
 	reply.Tokens = c.pool.Free()
 	reply.Load = n.Load()
 	reply.Stamp = n.stamp()
+	n.countRefusal(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
 }
 
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -73,6 +73,8 @@
 	// wokeUntil is when the node has caught up after a pause.
 	wokeUntil time.Duration
 	leftAt    time.Duration
+	// refused counts refusals for Status.
+	refused map[refusal]uint64
 
 	state     wire.NodeState
 	heartbeat time.Duration
@@ -100,6 +102,7 @@
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
+		refused:  map[refusal]uint64{},
 		state:    wire.NodeServing,
 	}
 }
