--- a/core/engine/control.go
+++ b/core/engine/control.go
@@ -66,6 +66,9 @@
 		p.Linked = ev.Up
 		p.Incarnation = max(p.Incarnation, ev.Peer.Incarnation)
 		n.hear(ev.Peer.Target, wire.Stamp{Incarnation: ev.Peer.Incarnation})
+		if ev.Up {
+			n.greet(ev.Peer)
+		}
 	}
 }
 
@@ -104,6 +107,9 @@
 }
 
 func (n *Node) checkStopped() {
+	if n.faults().WorkWhileLeaving && n.now-n.leftAt < 2*leavingBound {
+		return
+	}
 	if n.state == wire.NodeLeaving && (len(n.calls) == 0 || n.faults().CutOnStop) {
 		n.checkNothingOpen()
 		n.state = wire.NodeLeft
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -81,7 +81,7 @@
 	case n.fenceable(a):
 		n.askFate(a, false, ReasonAttemptLost)
 	default:
-		c.mayHaveRun = !n.faults().LostIsNotRun
+		c.mayHaveRun = true
 		n.afterLoss(c)
 	}
 	n.drainQueue()
--- a/core/engine/own.go
+++ b/core/engine/own.go
@@ -146,7 +146,7 @@
 
 // refuseAs passes a refusal on, unless an earlier attempt may have run.
 func (n *Node) refuseAs(c *call, reply Reply) {
-	if c.mayHaveRun {
+	if c.mayHaveRun && !n.faults().LostIsNotRun {
 		n.end(c, Reply{Outcome: OutcomeUnknown, Reason: reply.Reason})
 		return
 	}
--- a/core/engine/poison.go
+++ b/core/engine/poison.go
@@ -77,9 +77,24 @@
 // tellSuspect tells the linked peers how often f was in flight at a crash of
 // the own upstream; 0 tells that it completed.
 func (n *Node) tellSuspect(f uint64, crashes uint8) {
-	frame := wire.Frame{Suspect: &wire.Suspect{Fingerprint: f, Crashes: crashes, Remaining: suspicionLasts}}
+	m := &wire.Suspect{Fingerprint: f, Crashes: crashes, Remaining: suspicionLasts}
 	for _, p := range n.view.Linked() {
-		n.emit(&SendFrame{To: wire.NodeID{Target: p.Target, Incarnation: p.Incarnation}, Frame: frame})
+		to := wire.NodeID{Target: p.Target, Incarnation: p.Incarnation}
+		n.emit(&SendFrame{To: to, Frame: wire.Frame{Suspect: m}})
+	}
+}
+
+// greet tells a node that a link opened to what crashed the own upstream: it
+// may have started since.
+func (n *Node) greet(peer wire.NodeID) {
+	records := n.suspects.Records()
+	for _, r := range records[max(0, len(records)-maxAccused):] {
+		crashes := r.Crashes[n.cfg.Self.Target]
+		if crashes == 0 {
+			continue
+		}
+		m := &wire.Suspect{Fingerprint: r.Fingerprint, Crashes: crashes, Remaining: r.Expires - n.now}
+		n.emit(&SendFrame{To: peer, Frame: wire.Frame{Suspect: m}})
 	}
 }
 
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -195,9 +195,14 @@
 		Origin: engine.OriginPeer, Request: a.Request, Wait: a.Wait, Stage: a.Stage,
 		Class: a.Class, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send, Heard: a.Heard,
 	}
+	copies := 0
 	h.w.deliver(h, to, func() {
+		copies++
 		if !to.alive {
-			h.w.deliver(to, h, fail(engine.FailureNotSent), func() {})
+			// Only the sender's own connection can tell that nothing was sent.
+			if copies == 1 {
+				h.w.deliver(to, h, fail(engine.FailureNotSent), func() {})
+			}
 			return
 		}
 		target, copied := to.incarnation, *ev
--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -12,8 +12,8 @@
 const (
 	faultsFrom = 18 * time.Second
 	faultsTo   = 50 * time.Second
-	restAt     = 70 * time.Second
-	runTo      = 80 * time.Second
+	restAt     = 72 * time.Second
+	runTo      = 90 * time.Second
 )
 
 // poisonous begins the body of a request that crashes what runs it.
@@ -98,8 +98,12 @@
 }
 
 func (f *injector) pause() {
+	length := f.upTo(8 * time.Second)
+	if f.w.Random.IntN(3) == 0 {
+		length = f.upTo(30 * time.Second)
+	}
 	if h := f.host(); h != nil {
-		f.pauseFor(h, f.upTo(15*time.Second))
+		f.pauseFor(h, length)
 	}
 }
 
