--- a/core/document/reader.go
+++ b/core/document/reader.go
@@ -212,30 +212,30 @@
 		return nil
 	}
 	var items []item
-	seen := map[string]bool{}
 	for i, one := range n.Values {
 		value := o.r.text(one, fmt.Sprintf("%s[%d]", path, i))
 		if value == "" {
 			continue
 		}
-		if seen[value] {
-			o.r.report(positionOf(one.GetToken()), path, "", "%q stands twice", clip(value))
-			continue
-		}
-		seen[value] = true
 		items = append(items, item{value: value, at: positionOf(one.GetToken())})
 	}
 	return items
 }
 
-// names reads a list whose entries are names.
+// nameList reads a list whose entries are names, each of them once.
 func (o *object) nameList(name string, low, high int, required bool) []string {
 	var names []string
+	seen := map[string]bool{}
 	for _, one := range o.list(name, low, high, required) {
 		if len(one.value) > maxNameBytes || !namePattern.MatchString(one.value) {
 			o.r.report(one.at, join(o.path, name), "", "%q is not a name: a lower-case letter, then letters, digits, - or _", clip(one.value))
 			continue
 		}
+		if seen[one.value] {
+			o.r.report(one.at, join(o.path, name), "", "%q stands twice", one.value)
+			continue
+		}
+		seen[one.value] = true
 		names = append(names, one.value)
 	}
 	return names
--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -54,6 +54,8 @@
 	ReasonKeyExpired
 	// ReasonUpstreamCrashed means the upstream crashed while it ran the call.
 	ReasonUpstreamCrashed
+	// ReasonBudget means that the request's attempts are spent.
+	ReasonBudget
 )
 
 // Reply is what a call ends with, between nodes as well as towards callers.
@@ -92,11 +94,15 @@
 	Wait    time.Duration
 	Stage   Stage
 	Class   document.Class
-	Tokens  int
-	Depth   int
-	Send    wire.SendID
+	// Priority is the call's priority within its class.
+	Priority uint16
+	Tokens   int
+	Depth    int
+	Send     wire.SendID
 	// Heard is the latest stamp of the receiver, for CallArrived.Heard.
 	Heard wire.Stamp
+	// Rerun tells that an earlier attempt at the call may have run.
+	Rerun bool
 }
 
 // ReplyCall ends a call; each CallArrived gets exactly one.
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -1,9 +1,9 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
-	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/wire"
@@ -12,22 +12,20 @@
 // call is one request that this node has to answer, from its arrival to its
 // reply.
 type call struct {
-	id       CallID
-	origin   Origin
-	stage    Stage
-	request  *Request
-	route    *document.Route
-	class    document.Class
+	id      CallID
+	origin  Origin
+	stage   Stage
+	request *Request
+	route   *document.Route
+	class   document.Class
+	// priority is the priority within the class, drawn at the entry.
+	priority uint16
 	depth    int
 	arrived  time.Duration
 	deadline time.Duration
 	pool     budget.Pool
-	// allotment is the number of tokens the call began with.
-	allotment int
 	// send is the sending node's name for it, for OriginPeer.
 	send wire.SendID
-	// heard is the stamp of this node that came with it.
-	heard wire.Stamp
 	// parent is the dispatch on whose behalf the own upstream calls, and loan
 	// the tokens it lent.
 	parent *attempt
@@ -40,7 +38,23 @@
 	tried []string
 	// mayHaveRun is true once any attempt's fate is not certain.
 	mayHaveRun bool
-	heapIndex  int
+	// again is true when an attempt at c was made before c arrived, so that its
+	// first attempt here is a repeat.
+	again bool
+	// rerun is true when c may have run before, so that the calls made on its
+	// behalf are repeats.
+	rerun bool
+	// launched is true once an attempt at c left this node's queue.
+	launched bool
+	// remembered is true when the allotment has to be settled under c's key.
+	remembered bool
+	// overloads counts the refusals for overload.
+	overloads int
+	heapIndex int
+	// allotment is the number of tokens the call began with.
+	allotment int
+	// heard is the stamp of this node that came with another node's send.
+	heard wire.Stamp
 	// joined are the calls that wait for this one's answer.
 	joined []*call
 	// keyed is what the parent remembers of the call.
@@ -54,11 +68,6 @@
 	print uint64
 }
 
-// rank is the admission rank of c.
-func (c *call) rank() admission.Rank {
-	return admission.RankOf(uint8(c.class), c.depth)
-}
-
 // attempt is one try to have a call run: by the own upstream, or by a send to
 // another node.
 type attempt struct {
@@ -79,9 +88,9 @@
 	loan int
 	// pool holds the tokens for calls the own upstream makes meanwhile.
 	pool budget.Pool
-	// children counts the open calls of the own upstream, childSince is when
-	// the first of them began, and childTime is the time at least one was open.
-	children   int
+	// children are the open calls of the own upstream, childSince is when the
+	// first of them began, and childTime is the time at least one was open.
+	children   []*call
 	childSince time.Duration
 	childTime  time.Duration
 }
@@ -91,16 +100,17 @@
 	return now - a.started - a.childTime
 }
 
-func (a *attempt) childStarted(now time.Duration) {
-	if a.children == 0 {
+func (a *attempt) childStarted(now time.Duration, child *call) {
+	if len(a.children) == 0 {
 		a.childSince = now
 	}
-	a.children++
+	a.children = append(a.children, child)
 }
 
-func (a *attempt) childEnded(now time.Duration) {
-	a.children--
-	if a.children == 0 {
+func (a *attempt) childEnded(now time.Duration, child *call) {
+	i := slices.Index(a.children, child)
+	a.children = slices.Delete(a.children, i, i+1)
+	if len(a.children) == 0 {
 		a.childTime += now - a.childSince
 	}
 }
--- a/core/engine/check.go
+++ b/core/engine/check.go
@@ -35,9 +35,10 @@
 }
 
 // checkRepeat asserts that nothing is tried again that may have run and must
-// not repeat.
-func (n *Node) checkRepeat(c *call) {
-	ok := !c.mayHaveRun || c.route.Idempotent || !n.cfg.Policy.Ownership
+// not repeat, nor more often than there were tokens for. The owner of a key may
+// be asked again: it is there to know.
+func (n *Node) checkRepeat(c *call, stage Stage) {
+	ok := !c.mayHaveRun || c.route.Idempotent || !n.cfg.Policy.Ownership || stage == StageOwn
 	n.check(ok, invariant.AtMostOnce, c, "tried again though it may have run")
 	within := !n.cfg.Policy.Budget || len(c.tried) <= c.allotment
 	n.check(within, invariant.AttemptBudget, c, "more retries than tokens")
--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -79,13 +79,18 @@
 	// not say.
 	Parent AttemptID
 
-	Stage  Stage
-	Class  document.Class
-	Tokens int
-	Depth  int
-	Send   wire.SendID
+	Stage Stage
+	Class document.Class
+	// Priority is the call's priority within its class, drawn at the entry.
+	Priority uint16
+	Tokens   int
+	Depth    int
+	Send     wire.SendID
 	// Heard is the stamp of this node that the sender last got.
 	Heard wire.Stamp
+	// Rerun is true when an earlier attempt at the call may have run, so that
+	// the calls it makes are repeats.
+	Rerun bool
 }
 
 // CallerGone tells that nobody waits for the call any more.
--- a/core/engine/fence.go
+++ b/core/engine/fence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shallotspool/shallotspool/core/balancer"
 	"github.com/shallotspool/shallotspool/core/owner"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
@@ -64,6 +65,14 @@
 	n.moveDeadline(f.call, f.deadline)
 }
 
+// dropFence forgets the question about a call that ends before the answer came.
+func (n *Node) dropFence(c *call) {
+	if c.fence != nil {
+		delete(n.fences, c.fence.send)
+		c.fence = nil
+	}
+}
+
 // fenced takes the answer to a fence.
 func (n *Node) fenced(m *wire.Fenced) {
 	f := n.fences[m.Send]
@@ -73,26 +82,23 @@
 	n.closeFence(f)
 	c := f.call
 	switch {
-	case !m.Ran && !f.final && n.now < c.deadline && n.takeToken(c):
-		n.again(c, f)
-	case !m.Ran:
-		n.refuse(c, f.reason)
-	case f.stage == StageOwn && !f.final && n.now < c.deadline && n.takeToken(c):
-		c.mayHaveRun = true
+	case f.stage == StageOwn && n.asksOwnerAgain(c, f):
+		c.mayHaveRun = c.mayHaveRun || m.Ran
 		n.sendTo(c, f.target, StageOwn)
+	case !m.Ran && f.final:
+		n.refuse(c, f.reason)
+	case !m.Ran:
+		n.afterRefusal(c, f.reason)
 	default:
 		c.mayHaveRun = true
 		n.refuse(c, f.reason)
 	}
 }
 
-// again makes another attempt at a call whose last one certainly did not run.
-func (n *Node) again(c *call, f *fence) {
-	if f.stage == StageOwn {
-		n.sendTo(c, f.target, StageOwn)
-		return
-	}
-	n.try(c)
+// asksOwnerAgain takes what another send to the owner costs. The owner joins it
+// to the run in progress or answers it with the held result.
+func (n *Node) asksOwnerAgain(c *call, f *fence) bool {
+	return !f.final && n.now < c.deadline && n.affords(c, 1) && (!n.cfg.Policy.Budget || c.pool.Spend())
 }
 
 // fenceAtDeadline gives a call whose deadline has come a last chance to learn
@@ -109,7 +115,7 @@
 		return false
 	}
 	before := c.mayHaveRun
-	n.abandon(c)
+	n.abandon(c, balancer.ResultTimeout)
 	c.mayHaveRun = before
 	n.askFate(a, true, ReasonDeadline)
 	return true
@@ -135,7 +141,7 @@
 	switch {
 	case a != nil && a.waiting:
 		ran := c.mayHaveRun
-		n.abandon(c)
+		n.abandon(c, balancer.ResultCancelled)
 		n.refuse(c, ReasonCancelled)
 		n.answerFence(from, m.Send, ran)
 	case c.fence != nil, a != nil && !a.local && c.deadline-n.now <= soon:
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -5,6 +5,7 @@
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/invariant"
 )
 
 // answered takes the whole answer of an attempt.
@@ -20,8 +21,10 @@
 		c = a.call
 	}
 	n.checkAnswer(a, reply)
-	n.endAttempt(a, resultOf(reply.Outcome), reply.Tokens)
-	n.hear(a.target, reply.Stamp)
+	n.learnLevel(a, reply.Load)
+	n.hear(a, reply)
+	n.endAttempt(a, resultOf(reply), reply.Tokens)
+	n.noteStamp(a.target, reply.Stamp)
 	n.learnCrash(a, reply)
 	switch {
 	case reply.Outcome == OutcomeNotRun && n.restamp(c, a, reply):
@@ -50,15 +53,32 @@
 	}
 }
 
-func resultOf(o Outcome) balancer.Result {
-	switch o {
+// hear takes in the load that travelled with an answer.
+func (n *Node) hear(a *attempt, reply Reply) {
+	if a.local || reply.Load.Limit == 0 {
+		return
+	}
+	if p := n.view.Peer(a.target); p != nil {
+		p.Load = reply.Load
+	}
+}
+
+// resultOf is what a reply tells of the target it came from. A target that has
+// no document, or cannot reach its own upstream, does not work.
+func resultOf(r Reply) balancer.Result {
+	switch r.Outcome {
 	case OutcomeAnswered, OutcomeUpstreamError, OutcomeBadRequest:
 		return balancer.ResultOK
 	case OutcomeNotRun:
+		if r.Reason == ReasonNoDocument || r.Reason == ReasonNoTarget {
+			return balancer.ResultFailed
+		}
 		return balancer.ResultRefused
-	default:
+	}
+	if r.Reason == ReasonAttemptLost {
 		return balancer.ResultFailed
 	}
+	return balancer.ResultCancelled
 }
 
 // failed takes the end of an attempt that got no whole answer.
@@ -89,15 +109,23 @@
 
 // endAttempt frees what a held; left is what came back of its tokens.
 func (n *Node) endAttempt(a *attempt, r balancer.Result, left int) {
+	if r == balancer.ResultOK {
+		n.service(a.call.route.Service).answered(n.now - a.started)
+	}
 	if a.local {
+		n.cancelChildren(a)
+		a.call.launched = true
 		left = a.pool.Free()
 		n.guard.Done(n.now, admission.Sample{
-			Started: a.started, Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
+			ID: uint64(a.id), Own: a.ownTime(n.now), OK: r == balancer.ResultOK,
 		})
 		n.emit(&Measurement{Metric: MetricUpstreamTime, Class: a.call.class, Value: n.now - a.started})
 	} else {
-		n.balancer.Finished(n.now, a.target, r)
+		n.balancer.Finished(n.now, a.target, a.started, r)
 	}
+	n.checker.Check(left <= a.loan, invariant.Violation{
+		Name: invariant.AttemptBudget, Call: uint64(a.call.id), Detail: "more tokens came back than went out",
+	})
 	a.call.pool.Return(a.loan, left)
 	n.closeAttempt(a)
 	n.settleTrial(a, r == balancer.ResultOK)
@@ -105,70 +133,59 @@
 
 // afterRefusal goes on with a call whose last attempt certainly did not run.
 func (n *Node) afterRefusal(c *call, reason Reason) {
-	if n.mayRetry(c) && n.takeToken(c) {
-		n.try(c)
-		return
+	if reason == ReasonOverload {
+		c.overloads++
+	}
+	if !n.retry(c, 1) {
+		n.refuse(c, reason)
 	}
-	n.refuse(c, reason)
 }
 
 // afterLoss goes on with a call whose last attempt may have run.
-func (n *Node) afterLoss(c *call) {
-	if n.mayRetryLost(c) && n.takeToken(c) {
-		n.try(c)
-		return
-	}
-	n.end(c, Reply{Outcome: OutcomeUnknown, Reason: ReasonAttemptLost})
-}
+func (n *Node) afterLoss(c *call) { n.afterLossFor(c, ReasonAttemptLost) }
 
-// mayRetryLost tells whether c may be tried again though it may have run.
-func (n *Node) mayRetryLost(c *call) bool {
+// afterLossFor is afterLoss for a known reason.
+func (n *Node) afterLossFor(c *call, reason Reason) {
 	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership || n.faults().RetryLost
-	return repeatable && n.mayRetry(c)
+	c.rerun = true
+	if repeatable && n.retry(c, n.treeSize(c.route)) {
+		return
+	}
+	n.refuse(c, reason)
 }
 
 // afterError goes on with a call that an upstream failed. A node that is not
 // bound by a budget repeats it, as clients of plain proxies do.
 func (n *Node) afterError(c *call, reply Reply) {
-	if !n.cfg.Policy.Budget && n.mayRetry(c) && n.takeToken(c) {
-		n.try(c)
+	if !n.cfg.Policy.Budget && n.retry(c, 1) {
 		return
 	}
 	n.end(c, reply)
 }
 
-// mayRetry tells whether c may be tried on another target by this node.
-func (n *Node) mayRetry(c *call) bool {
-	return c.stage != StageRun && n.now < c.deadline
-}
-
-// takeToken takes what one more attempt costs and reports whether c had it.
-func (n *Node) takeToken(c *call) bool {
-	if n.faults().FreeRetries {
-		return true
-	}
-	if n.cfg.Policy.Budget {
-		return c.pool.Spend()
-	}
-	return len(c.tried) < n.cfg.Policy.HopAttempts
-}
-
 // refuse ends c without a further attempt.
 func (n *Node) refuse(c *call, reason Reason) {
-	n.refuseAs(c, Reply{Reason: reason, RetryAfter: retryLater})
+	after := retryLater
+	if reason == ReasonBudget {
+		after = 0
+	}
+	n.refuseAs(c, Reply{Reason: reason, RetryAfter: after})
 }
 
 // end answers c and forgets it.
 func (n *Node) end(c *call, reply Reply) {
 	if !n.checkEnd(c, reply) {
+		n.deadlines.remove(c)
 		return
 	}
 	n.forget(c)
 	n.settleOwner(c, reply)
 	n.settleSend(c, reply)
-	reply.Tokens = c.pool.Free()
-	reply.Load = n.Load()
 	reply.Stamp = n.stamp()
+	n.checkPool(&c.pool, c)
+	n.settleAllotment(c, reply.Outcome)
+	reply.Tokens = c.pool.Free()
+	reply.Load = n.loadFor(c.route)
 	n.settleParent(c)
 	n.measureEnd(c, reply)
 	n.emit(&ReplyCall{ID: c.id, Reply: reply})
@@ -185,45 +202,18 @@
 func (n *Node) forget(c *call) {
 	delete(n.calls, c.id)
 	n.deadlines.remove(c)
-	if c.origin == OriginPeer {
+	n.dropFence(c)
+	if n.sends[c.send] == c {
 		delete(n.sends, c.send)
 	}
 }
 
-// abandon stops the open attempt of c, if any.
-func (n *Node) abandon(c *call) {
-	a := c.current
-	if a == nil {
-		return
-	}
-	if a.waiting {
-		n.guard.Withdraw(uint64(a.id))
-		n.closeAttempt(a)
-		return
-	}
-	c.mayHaveRun = true
-	n.emit(&CancelAttempt{Attempt: a.id})
-	n.endAttempt(a, balancer.ResultCancelled, 0)
-}
-
-func (n *Node) callerGone(id CallID) {
-	c := n.calls[id]
-	if c == nil || c.fence != nil || n.keepsRunning(c) {
-		return
-	}
-	n.abandon(c)
-	n.refuse(c, ReasonCancelled)
-	n.drainQueue()
-}
-
 // expire ends the calls whose deadline has come.
 func (n *Node) expire() {
 	for c := n.deadlines.first(); c != nil && c.deadline <= n.now; c = n.deadlines.first() {
-		if n.fenceAtDeadline(c) {
-			continue
+		if !n.fenceAtDeadline(c) {
+			n.giveUp(c, ReasonDeadline)
 		}
-		n.abandon(c)
-		n.refuse(c, ReasonDeadline)
 	}
 }
 
--- a/core/engine/names.go
+++ b/core/engine/names.go
@@ -38,6 +38,7 @@
 	ReasonStale:            "stale",
 	ReasonKeyExpired:       "key_expired",
 	ReasonUpstreamCrashed:  "upstream_crashed",
+	ReasonBudget:           "budget",
 }
 
 // numbered stands before the number of a reason that has no name, so that a
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -5,10 +5,12 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
 	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/member"
@@ -40,6 +42,8 @@
 	cfg Config
 	now time.Duration
 	out []Action
+	// random draws priorities.
+	random *rand.Rand
 
 	doc      *document.Document
 	view     *member.View
@@ -49,6 +53,7 @@
 	issuer   *owner.Issuer
 	receipts *owner.Receipts
 	suspects *poison.Table
+	levels   levels
 	checker  invariant.Checker
 
 	calls    map[CallID]*call
@@ -56,7 +61,12 @@
 	// deadlines orders the open calls by deadline.
 	deadlines deadlineHeap
 	// sends finds the attempt that another node's send led to, for Cancel.
-	sends    map[wire.SendID]*call
+	sends map[wire.SendID]*call
+	// allotments remembers what resent requests may still spend.
+	allotments *budget.Memory
+	// services holds the caller's side of the services this node sends to.
+	services map[string]*serviceState
+	trees    treeSizes
 	nextID   AttemptID
 	nextSend uint64
 	// owned finds the call that runs a key, and fences the open question about
@@ -65,9 +75,9 @@
 	fences map[wire.SendID]*fence
 	// trials are the runs of suspect requests, by fingerprint.
 	trials map[uint64]*trial
-	// heard holds the latest stamp of each peer, by target name.
-	heard map[string]wire.Stamp
-	moved []movedKeys
+	// stamps holds the latest stamp of each peer, by target name.
+	stamps map[string]wire.Stamp
+	moved  []movedKeys
 
 	started time.Duration
 	// wokeUntil is when the node has caught up after a pause.
@@ -93,17 +103,26 @@
 		owned:    map[string]*call{},
 		fences:   map[wire.SendID]*fence{},
 		trials:   map[uint64]*trial{},
-		heard:    map[string]wire.Stamp{},
+		stamps:   map[string]wire.Stamp{},
 		// Attempts of an earlier run of the node must not be taken for these.
-		nextID:   AttemptID(cfg.Self.Incarnation << 32),
-		view:     member.NewView(),
-		balancer: balancer.New(cfg.Seed),
-		guard:    admission.New(cfg.Admission),
+		nextID: AttemptID(cfg.Self.Incarnation << 32),
+		view:   member.NewView(),
+		balancer: balancer.New(balancer.Config{
+			Seed: cfg.Seed, Self: cfg.Self.Target, DataCentre: cfg.DataCentre,
+			Outliers: cfg.Policy.Outliers, SlowStart: cfg.Policy.SlowStart, Spill: cfg.Policy.Spill,
+		}, now),
+		random:   rand.New(rand.NewPCG(cfg.Seed, 2)),
+		guard:    admission.New(cfg.guardConfig()),
+		levels:   newLevels(),
 		calls:    map[CallID]*call{},
 		attempts: map[AttemptID]*attempt{},
 		sends:    map[wire.SendID]*call{},
 		refused:  map[refusal]uint64{},
-		state:    wire.NodeServing,
+
+		allotments: budget.NewMemory(maxAllotments),
+		services:   map[string]*serviceState{},
+
+		state: wire.NodeServing,
 	}
 }
 
@@ -116,6 +135,7 @@
 	switch ev := ev.(type) {
 	case *CallArrived:
 		n.arrive(ev)
+		n.drainQueue()
 	case *CallerGone:
 		n.callerGone(ev.ID)
 	case *AttemptAnswered:
@@ -145,12 +165,3 @@
 
 // Violations returns the broken invariants this node has seen.
 func (n *Node) Violations() *invariant.Checker { return &n.checker }
-
-// Load returns what the node tells others of its upstream.
-func (n *Node) Load() wire.Load {
-	return wire.Load{
-		InFlight: uint32(n.guard.InFlight() + n.guard.Queued()),
-		Limit:    uint32(n.guard.Limit()),
-		Level:    uint16(n.guard.Level()),
-	}
-}
--- a/core/engine/pause.go
+++ b/core/engine/pause.go
@@ -25,8 +25,7 @@
 	n.expire()
 	for _, a := range n.openAttempts() {
 		if a.waiting && !a.call.route.Idempotent {
-			n.abandon(a.call)
-			n.refuse(a.call, ReasonWokeLate)
+			n.giveUp(a.call, ReasonWokeLate)
 		}
 	}
 }
--- a/core/engine/poison.go
+++ b/core/engine/poison.go
@@ -51,13 +51,10 @@
 }
 
 func (n *Node) crashed(a *attempt) {
+	c := a.call
 	n.endAttempt(a, balancer.ResultFailed, 0)
-	a.call.mayHaveRun = true
-	if n.mayRetryLost(a.call) && n.takeToken(a.call) {
-		n.try(a.call)
-		return
-	}
-	n.end(a.call, Reply{Outcome: OutcomeUnknown, Reason: ReasonUpstreamCrashed})
+	c.mayHaveRun = true
+	n.afterLossFor(c, ReasonUpstreamCrashed)
 }
 
 func (n *Node) accuse(lost []*attempt) {
@@ -144,10 +141,7 @@
 // tryPoison takes a call over that something is held against; it reports
 // whether it did.
 func (n *Node) tryPoison(c *call) bool {
-	if !n.cfg.Policy.Poison || n.suspects.Len() == 0 {
-		return false
-	}
-	switch n.suspects.Standing(n.now, c.fingerprint()) {
+	switch n.standing(c) {
 	case poison.Condemned:
 		n.refuseAs(c, Reply{Reason: ReasonPoison})
 	case poison.Suspect:
@@ -158,6 +152,26 @@
 	return true
 }
 
+// retryPoison makes a further attempt at a call over that something is held
+// against; it reports whether it did.
+func (n *Node) retryPoison(c *call) bool {
+	if n.standing(c) == poison.Clear {
+		return false
+	}
+	if n.cfg.Policy.Budget {
+		c.pool.Spend()
+	}
+	return n.tryPoison(c)
+}
+
+// standing returns what is held against the request of c.
+func (n *Node) standing(c *call) poison.Standing {
+	if !n.cfg.Policy.Poison || n.suspects.Len() == 0 {
+		return poison.Clear
+	}
+	return n.suspects.Standing(n.now, c.fingerprint())
+}
+
 // trialLater is when a caller may come back whose suspect request cannot be
 // tried now.
 const trialLater = time.Second
@@ -165,12 +179,12 @@
 func (n *Node) tryTrial(c *call) {
 	target := n.trialTarget(c)
 	switch {
+	case slices.Contains(c.tried, target):
+		n.refuseAs(c, Reply{Reason: ReasonPoison, RetryAfter: trialLater})
 	case target == n.cfg.Self.Target:
 		n.runTrial(c)
 	case c.origin == OriginPeer && c.stage == StageRun:
 		n.refuseAs(c, Reply{Reason: ReasonPoison, RetryAfter: trialLater})
-	case slices.Contains(c.tried, target):
-		n.refuseAs(c, Reply{Reason: ReasonPoison, RetryAfter: trialLater})
 	case n.view.Peer(target) == nil || !n.view.Peer(target).Takes():
 		n.refuseAs(c, Reply{Reason: ReasonPoison, RetryAfter: trialLater})
 	default:
--- a/core/engine/receive.go
+++ b/core/engine/receive.go
@@ -21,12 +21,12 @@
 	}
 }
 
-// hear keeps the latest stamp of a peer.
-func (n *Node) hear(target string, s wire.Stamp) {
-	known := n.heard[target]
+// noteStamp keeps the latest stamp of a peer.
+func (n *Node) noteStamp(target string, s wire.Stamp) {
+	known := n.stamps[target]
 	newer := s.Incarnation == known.Incarnation && s.Clock > known.Clock
 	if s.Incarnation > known.Incarnation || newer {
-		n.heard[target] = s
+		n.stamps[target] = s
 	}
 }
 
--- a/harness/soak/check.go
+++ b/harness/soak/check.go
@@ -131,7 +131,10 @@
 			c.violation("%s answered call %d twice", h.Target, a.ID)
 		}
 		c.replies[name] = true
+	case *engine.SendCall:
+		c.late(l, a.Request)
 	case *engine.Dispatch:
+		c.late(l, a.Request)
 		if at, ok := c.stopped[l]; ok && c.w.Now()-at > leavingBound {
 			c.violation("%s was given work %v after it began to leave", h.Target, c.w.Now()-at)
 		}
@@ -144,6 +147,21 @@
 	}
 }
 
+// longWait is how long a send may have waited for a paused node that still
+// takes it, if it must not repeat.
+const longWait = 500 * time.Millisecond
+
+// late sees a node work on a request that reached it while it was paused.
+func (c *checker) late(l life, r *engine.Request) {
+	s := c.sends[string(r.Header)]
+	if s == nil || s.slept != l || r.Method == "GET" || r.Key != s.order.key {
+		return
+	}
+	if waited := c.w.Now() - s.since; waited > longWait {
+		c.violation("%s took %s that waited %v for it to wake", l.target, s.name, waited)
+	}
+}
+
 func (c *checker) document(l life, a *engine.SendFrame) {
 	if a.Frame.State == nil {
 		return
