--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -4,29 +4,36 @@
 
 const (
 	// windowSamples is the number of runs one step of the limit is judged by.
-	windowSamples = 30
-	// windowWeight is the weight of the newest window in the smoothed own time.
-	windowWeight = 0.4
+	windowSamples = 60
 	// headroom is what the limit keeps above the slots it estimates.
-	headroom = 1.2
+	headroom = 1.25
 	// growth and shrink bound one step of the limit.
 	growth = 1.4
-	shrink = 0.8
+	shrink = 0.7
+	// insideShare is the share of the runs queueing inside the upstream above
+	// which their number tells its slots.
+	insideShare = 0.3
+	// doubt is the factor of a fall that a dip checks first.
+	doubt = 0.8
 	// lightShare is the share of the limit below which a run certainly met no
-	// queue inside the upstream, once the limit is near the slots.
-	lightShare = 0.7
+	// queue inside the upstream, also when the limit is far too high, and dipShare
+	// the one it dips to, below the slots when the limit is near them.
+	lightShare = 0.4
+	dipShare   = 0.6
 	// baseSamples is the memory of the baseline, in runs.
 	baseSamples = 100
 	// baseJump is the factor between a window of light runs and the baseline at
 	// which the window replaces it.
-	baseJump = 1.4
+	baseJump = 1.25
+	// baseSlack is the most that the baseline is above the own time of any window.
+	baseSlack = 1.15
 	// dipInterval is the time between two dips while the limit is reached.
 	dipInterval = 2 * time.Second
 	// dipPause is the least time between a dip and the next one that a
 	// suspected fall asks for.
 	dipPause = 400 * time.Millisecond
 	// dipSamples is the number of light runs that end a dip.
-	dipSamples = 30
+	dipSamples = 50
 	// maxDip ends a dip that finds no runs.
 	maxDip = time.Second
 )
@@ -41,15 +48,25 @@
 type limiter struct {
 	cfg   Config
 	limit float64
-	// own is the smoothed own time and base the baseline, in seconds.
+	// own is the own time of the last window and base the baseline, in seconds.
 	own, base float64
 	baseRuns  int
+	// skip is the number of runs yet to be passed over: those that end first
+	// after a start are the short ones.
+	skip int
 
 	window window
 	light  window
+	// total is the sum of the whole times of the runs in the window, in seconds.
+	total float64
+	// settled is when runs that began under the limit before are over.
+	settled time.Duration
 	// reached tells that the limit was hit in this window.
 	reached bool
 
+	// settledOnce tells that the limit has once been higher than it should be.
+	settledOnce bool
+
 	dipping  bool
 	dipBegan time.Duration
 	dipEnded time.Duration
@@ -70,19 +87,25 @@
 
 func (w *window) mean() float64 { return w.sum / float64(w.count) }
 
-func newLimiter(cfg Config) limiter { return limiter{cfg: cfg, limit: float64(cfg.Initial)} }
+func newLimiter(cfg Config) limiter {
+	return limiter{cfg: cfg, limit: float64(cfg.Initial), skip: cfg.Initial}
+}
 
 // current returns the number of calls that may run at once now.
 func (l *limiter) current() int {
 	if l.dipping {
-		return max(int(l.limit*lightShare), l.cfg.Min)
+		return max(int(l.limit*dipShare), l.cfg.Min)
 	}
 	return int(l.limit)
 }
 
 // isLight tells whether a run that makes inFlight calls run is a light one.
 func (l *limiter) isLight(inFlight int) bool {
-	return float64(inFlight) <= max(l.limit*lightShare, float64(l.cfg.Min))
+	share := lightShare
+	if l.dipping {
+		share = dipShare
+	}
+	return float64(inFlight) <= max(l.limit*share, float64(l.cfg.Min))
 }
 
 // started takes in a run that makes inFlight calls run.
@@ -98,19 +121,27 @@
 // full takes in that a call had to wait or was refused.
 func (l *limiter) full() { l.reached = true }
 
-// done takes in a run that ended with a whole answer.
-func (l *limiter) done(now, own time.Duration, light bool) {
-	if l.base == 0 && l.baseRuns < windowSamples {
+// done takes in a run that ended with a whole answer after total.
+func (l *limiter) done(now, own, total time.Duration, light bool) {
+	if l.skip > 0 {
+		l.skip--
+		return
+	}
+	if l.baseRuns < windowSamples {
 		light = true
 	}
 	if light {
 		l.learnBase(now, own)
 	}
-	if l.window.count == 0 && l.window.began == 0 {
+	if now < l.settled {
+		return
+	}
+	if l.window.count == 0 {
 		l.window.began = now
 	}
 	l.window.add(own)
-	if l.window.count >= windowSamples && now > l.window.began {
+	l.total += total.Seconds()
+	if l.window.count >= windowSamples && now-l.window.began >= max(seconds(l.base), time.Millisecond) {
 		l.step(now)
 	}
 }
@@ -120,39 +151,55 @@
 	l.baseRuns++
 	weight := 1 / float64(min(l.baseRuns, baseSamples))
 	l.base += weight * (own.Seconds() - l.base)
-	if l.light.count < windowSamples {
+	if l.light.count < dipSamples {
 		return
 	}
 	mean := l.light.mean()
 	l.light = window{}
 	if mean > l.base*baseJump || mean < l.base/baseJump {
 		l.base = mean
-		l.baseRuns = windowSamples
+		l.baseRuns = dipSamples
 	}
 }
 
 // step moves the limit after a window.
 func (l *limiter) step(now time.Duration) {
-	w := l.window
-	l.window = window{began: now}
-	reached := l.reached
-	l.reached = false
-	if l.own == 0 {
-		l.own = w.mean()
-	}
-	l.own += windowWeight * (w.mean() - l.own)
-	if l.dipping || !reached {
+	w, total, reached := l.window, l.total/float64(l.window.count), l.reached
+	l.window, l.total, l.reached = window{}, 0, false
+	l.own = w.mean()
+	l.base = min(l.base, l.own*baseSlack)
+	if l.dipping {
 		return
 	}
-	rate := float64(w.count) / (now - w.began).Seconds()
-	inside := max(0, rate*(l.own-l.base))
-	target := headroom*(l.limit-inside) + 1
-	if target < l.limit && l.dipDue(now, dipPause) {
+	rate := float64(w.count-1) / (now - w.began).Seconds()
+	target, known := l.target(rate, rate*total, reached)
+	if !known {
+		return
+	}
+	if target < l.limit*doubt && l.dipDue(now, dipPause) {
 		l.dip(now)
 		return
 	}
 	next := min(max(target, l.limit*shrink), l.limit*growth)
 	l.limit = min(max(next, float64(l.cfg.Min)), float64(l.cfg.Max))
+	l.settled = now + seconds(total)
+}
+
+// target returns where the limit should be, for an upstream that completed rate
+// runs per second while inFlight were running; known is false when that does not
+// tell.
+func (l *limiter) target(rate, inFlight float64, reached bool) (target float64, known bool) {
+	inside := max(0, rate*(l.own-l.base))
+	switch {
+	case inside > insideShare*inFlight:
+		l.settledOnce = true
+		return headroom*(min(l.limit, inFlight)-inside) + 1, true
+	case !reached:
+		return 0, false
+	case !l.settledOnce:
+		return l.limit * growth, true
+	}
+	return (l.limit + headroom*(l.limit-inside) + 1) / 2, true
 }
 
 func (l *limiter) dipDue(now, pause time.Duration) bool { return now-l.dipEnded >= pause }
@@ -166,8 +213,8 @@
 	switch {
 	case l.dipping && (l.dipRuns >= dipSamples || now-l.dipBegan > maxDip):
 		l.dipping, l.dipEnded = false, now
-		l.own = 0
-		l.window = window{began: now}
+		l.window, l.total = window{}, 0
+		l.settled = now + seconds(l.base)
 	case !l.dipping && reached && l.base > 0 && l.dipDue(now, dipInterval):
 		l.dip(now)
 	}
--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -6,7 +6,6 @@
 	"github.com/shallotspool/shallotspool/core/budget"
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/invariant"
-	"github.com/shallotspool/shallotspool/core/wire"
 )
 
 // retryLater is what a refused caller is told when nothing better is known.
@@ -30,7 +29,7 @@
 		n.replyTo(c, reply)
 		return
 	}
-	c.allotment = c.pool.Free()
+	c.tokens = c.pool.Free()
 	n.calls[c.id] = c
 	n.deadlines.add(c)
 	if c.origin == OriginPeer {
@@ -50,7 +49,7 @@
 	if n.doc == nil {
 		return ReasonNoDocument
 	}
-	if n.state >= wire.NodeLeaving && c.origin != OriginUpstream && !n.faults().WorkWhileLeaving {
+	if n.refusesNew(c.origin) {
 		return ReasonLeaving
 	}
 	if ev.Origin == OriginUpstream && ev.Parent != 0 && n.attempts[ev.Parent] == nil && n.cfg.Policy.Ownership {
@@ -127,7 +126,8 @@
 	if !n.cfg.Policy.Budget || c.request.Key == "" || c.stage == StageRun {
 		return
 	}
-	d := n.allotments.Draw(n.now, c.request.Key, tokens, c.deadline)
+	c.allotment = budget.RequestKey{Key: c.request.Key, Fingerprint: fingerprintOf(c.request)}
+	d := n.allotments.Draw(n.now, c.allotment, tokens, c.deadline)
 	c.pool = budget.NewPool(d.Tokens)
 	c.again = d.Again
 	c.rerun = c.rerun || d.Rerun
@@ -144,7 +144,7 @@
 		c.deadline = min(c.deadline, parent.call.deadline)
 	}
 	c.again, c.rerun = parent.call.rerun, parent.call.rerun
-	c.loan = parent.pool.LendShare(n.firstCost(c))
+	c.loan = parent.pool.LendShare(len(parent.call.route.Calls)-parent.made, n.firstCost(c))
 	c.pool = budget.NewPool(c.loan)
 	parent.childStarted(n.now, c)
 }
@@ -188,7 +188,7 @@
 	}
 	c.remembered = false
 	ran := c.mayHaveRun || o == OutcomeAnswered || o == OutcomeUpstreamError || o == OutcomeUnknown
-	n.allotments.Settle(c.request.Key, c.pool.Free(), c.launched, ran)
+	n.allotments.Settle(c.allotment, c.pool.Free(), c.launched, ran)
 }
 
 // checkPool asserts that p lends, spends and returns no more than it was given.
--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -38,6 +38,8 @@
 	tried []string
 	// mayHaveRun is true once any attempt's fate is not certain.
 	mayHaveRun bool
+	// attempted is the time of the finished attempts.
+	attempted time.Duration
 	// again is true when an attempt at c was made before c arrived, so that its
 	// first attempt here is a repeat.
 	again bool
@@ -46,13 +48,14 @@
 	rerun bool
 	// launched is true once an attempt at c left this node's queue.
 	launched bool
-	// remembered is true when the allotment has to be settled under c's key.
+	// remembered is true when the allotment of this key has to be settled.
 	remembered bool
+	allotment  budget.RequestKey
 	// overloads counts the refusals for overload.
 	overloads int
 	heapIndex int
-	// allotment is the number of tokens the call began with.
-	allotment int
+	// tokens is the number of tokens the call began with.
+	tokens int
 	// heard is the stamp of this node that came with another node's send.
 	heard wire.Stamp
 	// joined are the calls that wait for this one's answer.
@@ -88,6 +91,8 @@
 	loan int
 	// pool holds the tokens for calls the own upstream makes meanwhile.
 	pool budget.Pool
+	// made counts the calls that the own upstream made meanwhile.
+	made int
 	// children are the open calls of the own upstream, childSince is when the
 	// first of them began, and childTime is the time at least one was open.
 	children   []*call
@@ -105,6 +110,7 @@
 		a.childSince = now
 	}
 	a.children = append(a.children, child)
+	a.made++
 }
 
 func (a *attempt) childEnded(now time.Duration, child *call) {
--- a/core/engine/check.go
+++ b/core/engine/check.go
@@ -40,14 +40,14 @@
 func (n *Node) checkRepeat(c *call, stage Stage) {
 	ok := !c.mayHaveRun || c.route.Idempotent || !n.cfg.Policy.Ownership || stage == StageOwn
 	n.check(ok, invariant.AtMostOnce, c, "tried again though it may have run")
-	within := !n.cfg.Policy.Budget || len(c.tried) <= c.allotment
+	within := !n.cfg.Policy.Budget || len(c.tried) <= c.tokens
 	n.check(within, invariant.AttemptBudget, c, "more retries than tokens")
 }
 
 // checkDispatch asserts that the own upstream may get a now.
 func (n *Node) checkDispatch(a *attempt) {
 	c := a.call
-	leaving := n.state >= wire.NodeLeaving && n.now-n.leftAt > leavingBound && c.origin != OriginUpstream
+	leaving := n.state >= wire.NodeLeaving && n.now-n.leavingSince > leavingBound && c.origin != OriginUpstream
 	n.check(!leaving, invariant.LeavingNoWork, c, "new work to a leaving upstream")
 	n.check(c.current == a, invariant.OneReply, c, "dispatched twice")
 }
--- a/core/engine/faults.go
+++ b/core/engine/faults.go
@@ -1,5 +1,11 @@
 package engine
 
+import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/document"
+)
+
 // Faults break one promise each. Tests set them to show that the checks catch
 // it; a daemon never does.
 type Faults struct {
@@ -53,3 +59,18 @@
 	}
 	return a
 }
+
+// linger is how long a leaving node stays at least.
+func (n *Node) linger() time.Duration {
+	if n.faults().WorkWhileLeaving {
+		return 3 * leavingLinger
+	}
+	return leavingLinger
+}
+
+// takeOlder puts a document in force whatever its version is.
+func (n *Node) takeOlder(text []byte) {
+	if doc, err := document.Parse(text); err == nil {
+		n.documentInForce(doc)
+	}
+}
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/admission"
@@ -21,8 +22,8 @@
 		c = a.call
 	}
 	n.checkAnswer(a, reply)
-	n.learnLevel(a, reply.Load)
 	n.hear(a, reply)
+	n.learnLevel(a, reply.Load)
 	n.endAttempt(a, resultOf(reply), reply.Tokens)
 	n.noteStamp(a.target, reply.Stamp)
 	n.learnCrash(a, reply)
@@ -53,13 +54,14 @@
 	}
 }
 
-// hear takes in the load that travelled with an answer.
+// hear takes in the load that travelled with an answer. Its level is that of one
+// route and is learnt elsewhere.
 func (n *Node) hear(a *attempt, reply Reply) {
 	if a.local || reply.Load.Limit == 0 {
 		return
 	}
 	if p := n.view.Peer(a.target); p != nil {
-		p.Load = reply.Load
+		p.Load.InFlight, p.Load.Limit = reply.Load.InFlight, reply.Load.Limit
 	}
 }
 
@@ -123,6 +125,7 @@
 	} else {
 		n.balancer.Finished(n.now, a.target, a.started, r)
 	}
+	a.call.attempted += n.now - a.started
 	n.checker.Check(left <= a.loan, invariant.Violation{
 		Name: invariant.AttemptBudget, Call: uint64(a.call.id), Detail: "more tokens came back than went out",
 	})
@@ -146,9 +149,8 @@
 
 // afterLossFor is afterLoss for a known reason.
 func (n *Node) afterLossFor(c *call, reason Reason) {
-	repeatable := c.route.Idempotent || !n.cfg.Policy.Ownership || n.faults().RetryLost
 	c.rerun = true
-	if repeatable && n.retry(c, n.treeSize(c.route)) {
+	if n.repeatable(c) && n.retry(c, n.treeSize(c.route)) {
 		return
 	}
 	n.refuse(c, reason)
@@ -157,7 +159,7 @@
 // afterError goes on with a call that an upstream failed. A node that is not
 // bound by a budget repeats it, as clients of plain proxies do.
 func (n *Node) afterError(c *call, reply Reply) {
-	if !n.cfg.Policy.Budget && n.retry(c, 1) {
+	if !n.cfg.Policy.Budget && n.repeatable(c) && n.retry(c, 1) {
 		return
 	}
 	n.end(c, reply)
@@ -195,10 +197,21 @@
 	n.countRefusal(c, reply)
 	n.emit(&Measurement{
 		Metric: MetricCallTime, Class: c.class, Reason: reply.Reason,
-		Group: c.request.Group, Value: n.now - c.arrived, Count: len(c.tried),
+		Group: n.groupOf(c), Value: n.now - c.arrived, Count: len(c.tried),
+	})
+	n.emit(&Measurement{
+		Metric: MetricAddedTime, Class: c.class, Group: n.groupOf(c), Value: n.now - c.arrived - c.attempted,
 	})
 }
 
+// groupOf returns the caller group of c if the document names it.
+func (n *Node) groupOf(c *call) string {
+	if slices.Contains(n.doc.Groups, c.request.Group) {
+		return c.request.Group
+	}
+	return ""
+}
+
 func (n *Node) forget(c *call) {
 	delete(n.calls, c.id)
 	n.deadlines.remove(c)
--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -23,6 +23,14 @@
 	return admission.RankOf(uint8(c.class), c.priority)
 }
 
+// classes returns the number of classes that ranks tell apart.
+func (n *Node) classes() int {
+	if !n.cfg.Policy.Classes {
+		return 1
+	}
+	return len(n.doc.Classes)
+}
+
 // drawPriority draws the priority within its class of a call that enters here.
 func (n *Node) drawPriority() uint16 { return uint16(n.random.IntN(admission.Priorities)) }
 
@@ -59,6 +67,7 @@
 	n.checkDispatch(a)
 	a.waiting = false
 	a.started = n.now
+	n.levels.tell(n.now, levelKey{n.cfg.Self.Target, c.route.Name}, n.guard.Level())
 	a.pool = budget.NewPool(c.pool.LendAll())
 	a.loan = a.pool.Free()
 	n.emit(&Measurement{Metric: MetricQueueTime, Class: c.class, Value: n.now - c.arrived})
--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -76,7 +76,9 @@
 		f.platform, f.publish, f.stale, f.poison, f.pauseMany,
 	}
 	if f.check.strict {
-		kinds = []func(){f.crash, f.stop, f.platform, f.publish, f.stale, f.poison, f.poison, f.poison}
+		// A node that starts while the platform is away knows of no other, so
+		// nobody can tell it anything: that is left to the other seeds.
+		kinds = []func(){f.crash, f.stop, f.publish, f.stale, f.poison, f.poison, f.poison}
 	}
 	kinds[f.w.Random.IntN(len(kinds))]()
 }
--- a/harness/soak/soak.go
+++ b/harness/soak/soak.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc/iter"
 
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/spread"
 	"github.com/shallotspool/shallotspool/harness/sim"
 )
 
@@ -42,6 +43,7 @@
 		Configure: func(c *engine.Config) {
 			c.Faults = broken
 			c.Admission.Initial = 8
+			c.AskPeers = spread.DefaultAsk
 		},
 	})
 	if err != nil {
