--- a/core/engine/call.go
+++ b/core/engine/call.go
@@ -54,6 +54,21 @@
 	// overloads counts the refusals for overload.
 	overloads int
 	heapIndex int
+	// tokens is the number of tokens the call began with.
+	tokens int
+	// heard is the stamp of this node that came with another node's send.
+	heard wire.Stamp
+	// joined are the calls that wait for this one's answer.
+	joined []*call
+	// keyed is what the parent remembers of the call.
+	keyed *child
+	// fence is the open question about a send, and fencedBy the node that waits
+	// to learn what became of this call.
+	fence    *fence
+	fencedBy wire.NodeID
+	restamps int
+	// print is the fingerprint, 0 until it is needed.
+	print uint64
 }
 
 // attempt is one try to have a call run: by the own upstream, or by a send to
@@ -68,6 +83,10 @@
 	waiting bool
 	started time.Duration
 	send    wire.SendID
+	// heard is the receiver's stamp that went with a send.
+	heard wire.Stamp
+	// childKeys are the keys of calls that are not idempotent, made meanwhile.
+	childKeys map[string]*child
 	// loan is the tokens that went with a send.
 	loan int
 	// pool holds the tokens for calls the own upstream makes meanwhile.
--- a/core/engine/guard.go
+++ b/core/engine/guard.go
@@ -34,8 +34,15 @@
 // drawPriority draws the priority within its class of a call that enters here.
 func (n *Node) drawPriority() uint16 { return uint16(n.random.IntN(admission.Priorities)) }
 
-// runHere asks the guard to run c on the own upstream.
+// runHere runs c on the own upstream, unless it is suspected of crashing it.
 func (n *Node) runHere(c *call) {
+	if !n.tryPoison(c) {
+		n.offerHere(c)
+	}
+}
+
+// offerHere asks the guard to run c on the own upstream.
+func (n *Node) offerHere(c *call) {
 	a := n.newAttempt(c, n.cfg.Self.Target, StageRun)
 	a.local = true
 	switch n.guard.Offer(n.now, n.itemOf(a)) {
@@ -57,6 +64,7 @@
 // dispatch hands a to the own upstream.
 func (n *Node) dispatch(a *attempt) {
 	c := a.call
+	n.checkDispatch(a)
 	a.waiting = false
 	a.started = n.now
 	n.levels.tell(n.now, levelKey{n.cfg.Self.Target, c.route.Name}, n.guard.Level())
--- a/core/engine/tick.go
+++ b/core/engine/tick.go
@@ -11,9 +11,7 @@
 	n.expire()
 	n.guard.Tick(n.now)
 	n.drainQueue()
-	if n.keys != nil {
-		n.keys.Tick(n.now)
-	}
+	n.forgetOld()
 	if n.now >= n.controlAt {
 		n.controlAt = n.now + controlInterval
 		n.control()
