Measure slow-downs, retry storms and cold starts, and judge dips whole

Cause: only surges were measured. In a dip the first runs to end are the short ones, so the baseline went up and down with how many were counted.

The generated trees have scenarios of their own names. The runs of a dip are judged once all have ended, and the limit does not fall before.

--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -7,9 +7,10 @@
 	windowSamples = 60
 	// headroom is what the limit keeps above the slots it estimates.
 	headroom = 1.25
-	// growth and shrink bound one step of the limit.
-	growth = 1.4
-	shrink = 0.7
+	// firstGrowth is a step of the limit until its first fall, and shrink bounds
+	// a fall.
+	firstGrowth = 1.6
+	shrink      = 0.7
 	// insideShare is the share of the runs queueing inside the upstream above
 	// which their number tells its slots.
 	insideShare = 0.3
@@ -74,6 +75,8 @@
 	dipBegan time.Duration
 	dipEnded time.Duration
 	dipRuns  int
+	// judging tells that runs of the last dip have yet to end.
+	judging bool
 }
 
 // window sums up samples.
@@ -134,7 +137,7 @@
 		light = true
 	}
 	if light {
-		l.learnBase(now, own)
+		l.learnBase(now-total, own)
 	}
 	if now < l.settled {
 		return
@@ -144,21 +147,26 @@
 	}
 	l.window.add(own)
 	l.total += total.Seconds()
-	if l.window.count >= windowSamples && now-l.window.began >= max(seconds(l.base), time.Millisecond) {
+	if l.window.count >= l.windowSize() && now-l.window.began >= max(seconds(l.base), time.Millisecond) {
 		l.step(now)
 	}
 }
 
-func (l *limiter) learnBase(now, own time.Duration) {
-	l.light.add(own)
+// learnBase takes in a light run that began at started. The runs of a dip are
+// judged together once all have ended: the first to end are the short ones.
+func (l *limiter) learnBase(started, own time.Duration) {
 	l.baseRuns++
-	weight := 1 / float64(min(l.baseRuns, baseSamples))
-	l.base += weight * (own.Seconds() - l.base)
-	if l.light.count < dipSamples {
+	if l.dipBegan == 0 || started < l.dipBegan || !l.dipping && started > l.dipEnded {
+		weight := 1 / float64(min(l.baseRuns, baseSamples))
+		l.base += weight * (own.Seconds() - l.base)
+		return
+	}
+	l.light.add(own)
+	if l.dipping || l.light.count < l.dipRuns {
 		return
 	}
 	mean := l.light.mean()
-	l.light = window{}
+	l.light, l.judging = window{}, false
 	if mean > l.base*baseJump || mean < l.base/baseJump {
 		l.base = mean
 		return
@@ -166,6 +174,15 @@
 	l.base = (l.base + mean) / 2
 }
 
+// windowSize returns the number of runs one step is judged by: fewer while the
+// limit grows fast.
+func (l *limiter) windowSize() int {
+	if l.settledOnce {
+		return windowSamples
+	}
+	return windowSamples / 2
+}
+
 // step moves the limit after a window.
 func (l *limiter) step(now time.Duration) {
 	w, total, reached := l.window, l.total/float64(l.window.count), l.reached
@@ -185,11 +202,14 @@
 	if !known {
 		return
 	}
+	if target < l.limit && l.judging {
+		return
+	}
 	if target < l.limit*doubt && l.dipDue(now, dipPause) {
 		l.dip(now)
 		return
 	}
-	next := min(max(target, l.limit*shrink), l.limit*growth)
+	next := min(max(target, l.limit*shrink), l.limit*firstGrowth)
 	l.limit = min(max(next, float64(l.cfg.Min)), float64(l.cfg.Max))
 	l.settled = now + seconds(total)
 }
@@ -206,7 +226,7 @@
 	case !reached:
 		return 0, false
 	case !l.settledOnce:
-		return l.limit * growth, true
+		return l.limit * firstGrowth, true
 	}
 	return (l.limit + headroom*(l.limit-inside) + 1) / 2, true
 }
@@ -215,6 +235,7 @@
 
 func (l *limiter) dip(now time.Duration) {
 	l.dipping, l.dipBegan, l.dipRuns = true, now, 0
+	l.light, l.judging = window{}, true
 }
 
 // tick begins and ends dips; reached tells that the limit is reached now.
@@ -224,6 +245,8 @@
 		l.dipping, l.dipEnded = false, now
 		l.window, l.total = window{}, 0
 		l.settled = now + seconds(l.base)
+	case l.judging && !l.dipping && now-l.dipEnded > maxDip:
+		l.judging = false
 	case !l.dipping && reached && l.base > 0 && l.dipDue(now, dipInterval):
 		l.dip(now)
 	}
--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -52,6 +52,7 @@
 			}
 		}
 	}
+	specs = append(specs, pressureSpecs(seeds)...)
 	return append(specs, lossSpecs(seeds)...)
 }
 
--- a/harness/measure/case.go
+++ b/harness/measure/case.go
@@ -55,6 +55,11 @@
 type scenario struct {
 	// trigger is called once the world is warm; pressure lasts from begin to end.
 	trigger func(w *sim.World, d deployment, demand float64)
+	// hard tells that callers send again what was not answered, at all times.
+	hard bool
+	// able returns the share of capacity that is there during the pressure; nil
+	// means all.
+	able func(d deployment) float64
 }
 
 // The times of every run. Nodes are older than the resend window when the first
@@ -70,6 +75,14 @@
 // ablation begins the names of the policies that are full less one mechanism.
 const ablation = "full-"
 
+// scenario is the name of the scenario of s; generated trees have their own.
+func (s Spec) scenario() string {
+	if s.Tree != "" {
+		return s.Case + "_tree"
+	}
+	return s.Case
+}
+
 // policyOf returns the named policy.
 func policyOf(name string) (engine.Policy, error) {
 	switch name {
