--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -132,12 +132,22 @@
 	Up   bool
 }
 
-// DocumentSeen is a document read from the platform, or handed over at start.
+// DocumentSeen is a document read from the platform, or handed over at start. A
+// nil Text means that the platform still has the version of ReadPlatform.Have.
 type DocumentSeen struct {
 	Version document.Version
 	Text    []byte
 }
 
+// DocumentChecked is what document.Parse gave for the Text of a CheckDocument,
+// whose Version and Text it repeats.
+type DocumentChecked struct {
+	Version  document.Version
+	Text     []byte
+	Document *document.Document
+	Err      error
+}
+
 // MembersSeen is the platform's list of instances.
 type MembersSeen struct{ List []member.Instance }
 
@@ -161,6 +171,7 @@
 func (*FrameReceived) event()   {}
 func (*LinkChanged) event()     {}
 func (*DocumentSeen) event()    {}
+func (*DocumentChecked) event() {}
 func (*MembersSeen) event()     {}
 func (*HealthSeen) event()      {}
 func (*UpstreamCrashed) event() {}
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -61,6 +61,7 @@
 		n.spread.Text(f.now, &wire.Document{Version: 2, Text: text(2, "b")})
 		n.spread.PlatformRead(f.now, 2, text(2, "b"))
 		n.spread.PlatformRead(f.now, 0, text(2, "b"))
+		n.spread.PlatformRead(f.now, 3, nil)
 	}
 	f.run(bound)
 	f.want(3)
@@ -207,6 +208,7 @@
 func TestOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, 6)
+		f.checkApart = rapid.Bool().Draw(t, "check apart")
 		newest := uint64(1)
 		f.run(bound)
 		for range rapid.IntRange(1, 8).Draw(t, "steps") {
--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -53,7 +53,8 @@
 		}
 	}
 	specs = append(specs, pressureSpecs(seeds)...)
-	return append(specs, lossSpecs(seeds)...)
+	specs = append(specs, lossSpecs(seeds)...)
+	return append(specs, controlSpecs(seeds)...)
 }
 
 // All runs what o takes and prints its lines to out, and progress to progress.
