Never cut a class that the upstream can serve whole

Cause: the correction for a queue took the level into the top class when the upstream was slow, and entries refused writes.

Change: a class whose demand fits into the completion rate stays whole.

Conclusion: what remains in deep_slow is the slow upstream's tail, not a refusal.

--- a/core/admission/level.go
+++ b/core/admission/level.go
@@ -141,19 +141,22 @@
 	return l.rate * min(max(correction, levelFall), levelRise)
 }
 
-// move sets the level to where rate calls per second are offered.
+// move sets the level to where rate calls per second are offered. A class that
+// the upstream can serve whole is not cut to make up for a queue: its calls pass
+// those of the classes below.
 func (l *leveller) move(rate float64) {
-	top, room := l.level.class(), rate
+	top, room, able := l.level.class(), rate, l.rate
 	for class := 0; class < l.classes; class++ {
 		if class > top {
 			l.level = RankOf(uint8(class), min(classStep, uint16(share(room, l.demand[class]))))
 			return
 		}
-		if room < l.demand[class] {
+		if room < l.demand[class] && able < l.demand[class] {
 			l.level = RankOf(uint8(class), uint16(share(room, l.demand[class])))
 			return
 		}
-		room -= l.demand[class]
+		room = max(0, room-l.demand[class])
+		able -= l.demand[class]
 	}
 	l.level = RankAll
 }
