Take a jump in demand in at once

Cause: most of the wasted work fell into the first half second of a surge, while the smoothed demand was still rising and the level followed it.

Change: an interval with more than 1.5 times the smoothed demand counts for 0.8. The queue aimed at is 20 ms.

--- a/core/admission/level.go
+++ b/core/admission/level.go
@@ -11,9 +11,12 @@
 	leastShare = 1.0 / 512
 	// demandWeight is the weight of the newest interval in the demand.
 	demandWeight = 0.3
+	// jumpWeight is its weight when it is more than jump times the smoothed one.
+	jump       = 1.5
+	jumpWeight = 0.8
 	// queueTarget is the queue time that keeps the upstream busy through short
 	// lulls, and queueSettle the time within which the level corrects it.
-	queueTarget = 40 * time.Millisecond
+	queueTarget = 20 * time.Millisecond
 	queueSettle = 400 * time.Millisecond
 	// idleOpen is the factor by which an upstream with room is opened further; it
 	// grows by idleGrowth with each interval up to idleMost, as the news of a move
@@ -103,7 +106,8 @@
 func (l *leveller) learnDemand(elapsed time.Duration) float64 {
 	total := 0.0
 	for class := range l.classes {
-		l.seen[class] += demandWeight * (float64(l.offers[class])/elapsed.Seconds() - l.seen[class])
+		offered := float64(l.offers[class]) / elapsed.Seconds()
+		l.seen[class] += weightOf(offered, l.seen[class]) * (offered - l.seen[class])
 		l.shares[class] += demandWeight * (shareOf(class, l.past[0]) - l.shares[class])
 		if l.shares[class] > leastShare {
 			l.demand[class] = l.seen[class] / l.shares[class]
@@ -115,6 +119,15 @@
 	return total
 }
 
+// weightOf returns the weight of the newest interval: a jump in demand counts at
+// once, for what is let in meanwhile is wasted.
+func weightOf(offered, seen float64) float64 {
+	if offered > jump*seen {
+		return jumpWeight
+	}
+	return demandWeight
+}
+
 // shareOf returns the part of a class that a level lets through.
 func shareOf(class int, level Rank) float64 {
 	switch {
