--- a/core/admission/level.go
+++ b/core/admission/level.go
@@ -16,7 +16,7 @@
 	jumpWeight = 0.8
 	// queueTarget is the queue time that keeps the upstream busy through short
 	// lulls, and queueSettle the time within which the level corrects it.
-	queueTarget = 20 * time.Millisecond
+	queueTarget = 30 * time.Millisecond
 	queueSettle = 400 * time.Millisecond
 	// idleOpen is the factor by which an upstream with room is opened further; it
 	// grows by idleGrowth with each interval up to idleMost, as the news of a move
