--- a/core/admission/level.go
+++ b/core/admission/level.go
@@ -24,6 +24,10 @@
 	idleOpen   = 1.05
 	idleGrowth = 1.1
 	idleMost   = 2.0
+	// raiseOpen is that factor after the intervals in which a move shows; from
+	// then on the level rises by it and by leastRaise priorities at least.
+	raiseOpen  = 1.4
+	leastRaise = 1
 	// levelFall and levelRise bound the share of its rate that a busy upstream
 	// is offered after one move.
 	levelFall = 0.6
@@ -89,7 +93,23 @@
 	if l.level == RankAll && float64(queued) <= l.rate*queueTarget.Seconds() {
 		return
 	}
+	before := l.level
 	l.move(l.wanted(busy, offered, queued))
+	if !busy && l.open > raiseOpen {
+		l.raise(before)
+	}
+}
+
+// raise lifts the level above the one before in any case: an upstream with room
+// opens even when the demand was last seen through a share too small to tell it.
+func (l *leveller) raise(before Rank) {
+	step := max(leastRaise, float64(before.priority())*(l.open-1))
+	lifted := int(before) + int(step)
+	if lifted >= int(RankOf(uint8(l.classes-1), Priorities-1)) {
+		l.level = RankAll
+		return
+	}
+	l.level = max(l.level, Rank(lifted))
 }
 
 // learnRate takes in the completions per second of one interval. Only one that
