--- /dev/null
+++ b/core/engine/overload_test.go
@@ -0,0 +1,102 @@
+package engine_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/shallotspool/shallotspool/core/admission"
+	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/member"
+	"github.com/shallotspool/shallotspool/core/wire"
+)
+
+const overloadDocument = `version: 1
+name: overload
+classes: [write, read]
+resend_window: 1s
+answers: {bytes: 1024, keys: 16}
+services:
+  stock:
+    targets: 1
+    routes:
+      put: {method: POST, path: /put, class: write, idempotent: true, wait: 1s, retries: 0}
+      get: {method: GET, path: /get, class: read, idempotent: true, wait: 1s, retries: 0}
+`
+
+// surgeSession writes down what one node does with its events.
+type surgeSession struct {
+	node    *engine.Node
+	now     time.Duration
+	nextID  engine.CallID
+	running []engine.AttemptID
+	log     bytes.Buffer
+}
+
+func (s *surgeSession) step(name string, ev engine.Event) {
+	for _, a := range s.node.Step(s.now, ev) {
+		switch a := a.(type) {
+		case *engine.Dispatch:
+			s.running = append(s.running, a.Attempt)
+			fmt.Fprintf(&s.log, "%v %s: dispatch attempt=%d path=%s\n", s.now, name, a.Attempt, a.Request.Path)
+		case *engine.ReplyCall:
+			fmt.Fprintf(&s.log, "%v %s: reply call=%d outcome=%d reason=%d level=%d\n",
+				s.now, name, a.ID, a.Reply.Outcome, a.Reply.Reason, a.Reply.Load.Level)
+		}
+	}
+}
+
+func (s *surgeSession) call(method, path string) {
+	s.nextID++
+	s.step(fmt.Sprintf("%s %s", method, path), &engine.CallArrived{
+		ID: s.nextID, Origin: engine.OriginCaller, Request: &engine.Request{Service: "stock", Method: method, Path: path},
+	})
+}
+
+func (s *surgeSession) answer() {
+	id := s.running[0]
+	s.running = s.running[1:]
+	s.step("answer", &engine.AttemptAnswered{Attempt: id, Reply: engine.Reply{
+		Outcome: engine.OutcomeAnswered, Answer: &engine.Answer{Status: 200},
+	}})
+}
+
+// TestSessionOfSurgeAndRecovery shows a node through a surge: reads give way to
+// writes, the level falls so that later reads are refused at once, and opens
+// again once the surge is over.
+func TestSessionOfSurgeAndRecovery(t *testing.T) {
+	self := wire.NodeID{Target: "stock-1", Incarnation: 1}
+	s := &surgeSession{node: engine.New(engine.Config{
+		Self: self, Service: "stock", DataCentre: "dc0", Seed: 1, Policy: engine.Full(), MaxCalls: 100,
+		Admission: admission.Config{Initial: 2, Min: 1, Max: 8, MaxQueue: 3},
+	}, 0)}
+	s.step("document", &engine.DocumentSeen{Version: 1, Text: []byte(overloadDocument)})
+	s.step("members", &engine.MembersSeen{List: []member.Instance{{Target: "stock-1", Service: "stock", DataCentre: "dc0"}}})
+	for s.now < 300*time.Millisecond {
+		s.now += 10 * time.Millisecond
+		s.step("tick", &engine.Tick{})
+		s.call("GET", "/get")
+		s.call("GET", "/get")
+		if s.now%(50*time.Millisecond) == 0 {
+			s.call("POST", "/put")
+		}
+		if s.now%(20*time.Millisecond) == 0 && len(s.running) > 0 {
+			s.answer()
+		}
+	}
+	fmt.Fprintln(&s.log, "the surge is over")
+	for s.now < 900*time.Millisecond {
+		s.now += 10 * time.Millisecond
+		s.step("tick", &engine.Tick{})
+		if len(s.running) > 0 {
+			s.answer()
+		}
+		if s.now%(100*time.Millisecond) == 0 {
+			s.call("GET", "/get")
+		}
+	}
+	goldie.New(t).Assert(t, "surge_and_recovery", s.log.Bytes())
+}
