--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -16,7 +16,7 @@
 func (n *Node) arrive(ev *CallArrived) {
 	c := &call{
 		id: ev.ID, origin: ev.Origin, stage: ev.Stage, request: ev.Request,
-		arrived: n.now, send: ev.Send, heapIndex: -1,
+		arrived: n.now, send: ev.Send, heard: ev.Heard, heapIndex: -1,
 	}
 	if c.origin == OriginPeer {
 		c.pool = budget.NewPool(ev.Tokens)
@@ -25,6 +25,11 @@
 		n.refuseArrival(c, reason)
 		return
 	}
+	if reply := n.receive(c); reply.Outcome != 0 {
+		n.replyTo(c, reply)
+		return
+	}
+	c.tokens = c.pool.Free()
 	n.calls[c.id] = c
 	n.deadlines.add(c)
 	if c.origin == OriginPeer {
@@ -47,6 +52,9 @@
 	if n.refusesNew(c) {
 		return ReasonLeaving
 	}
+	if ev.Origin == OriginUpstream && ev.Parent != 0 && n.attempts[ev.Parent] == nil && n.cfg.Policy.Ownership {
+		return ReasonCancelled
+	}
 	if len(n.calls) >= n.cfg.MaxCalls {
 		return ReasonOverload
 	}
@@ -60,6 +68,9 @@
 	if c.deadline <= n.now {
 		return ReasonDeadline
 	}
+	if n.catchingUp(c) {
+		return ReasonWokeLate
+	}
 	if n.refusedAtEntry(c) {
 		return ReasonOverload
 	}
@@ -146,6 +157,13 @@
 	if reason == ReasonNoRoute {
 		reply = Reply{Outcome: OutcomeBadRequest, Reason: reason}
 	}
+	n.refuseSend(c, &reply)
+	n.replyTo(c, reply)
+}
+
+// replyTo answers a call that is not registered.
+func (n *Node) replyTo(c *call, reply Reply) {
+	reply.Stamp = n.stamp()
 	reply.Tokens = c.pool.Free()
 	reply.Load = n.loadFor(c.route)
 	n.countRefusal(c, reply)
--- a/core/engine/cancel.go
+++ b/core/engine/cancel.go
@@ -8,7 +8,7 @@
 )
 
 func (n *Node) callerGone(id CallID) {
-	if c := n.calls[id]; c != nil {
+	if c := n.calls[id]; c != nil && c.fence == nil && !n.keepsRunning(c) {
 		n.giveUp(c, ReasonCancelled)
 		n.drainQueue()
 	}
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -11,6 +11,9 @@
 
 // try makes the first attempt at c on a target of its service.
 func (n *Node) try(c *call) {
+	if n.tryPoison(c) {
+		return
+	}
 	if !n.payFirst(c) {
 		n.refuse(c, ReasonBudget)
 		return
@@ -75,12 +78,13 @@
 	a := n.newAttempt(c, target, stage)
 	a.send = wire.SendID{Node: n.cfg.Self, Sequence: n.nextSend}
 	a.loan = n.lend(c, stage)
+	a.heard = n.stamps[target]
 	c.launched = c.launched || stage == StageRun
 	n.balancer.Started(n.now, target)
 	n.emit(&SendCall{
 		Attempt: a.id, Target: target, Request: c.request,
 		Wait: n.waitAfterHop(c), Stage: stage, Class: c.class, Priority: c.priority,
-		Tokens: a.loan, Depth: c.depth, Send: a.send, Rerun: c.rerun,
+		Tokens: a.loan, Depth: c.depth, Send: a.send, Rerun: c.rerun, Heard: a.heard,
 	})
 }
 
@@ -106,6 +110,7 @@
 }
 
 func (n *Node) newAttempt(c *call, target string, stage Stage) *attempt {
+	n.checkRepeat(c, stage)
 	n.nextID++
 	a := &attempt{id: n.nextID, call: c, target: target, stage: stage, started: n.now}
 	n.attempts[a.id] = a
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -41,6 +41,7 @@
 // Start runs a new incarnation of the node; it remembers nothing.
 func (h *Host) Start() {
 	h.incarnation++
+	h.markLeaving(false)
 	h.alive, h.paused, h.backlog = true, false, nil
 	h.waiting = map[engine.CallID]func(engine.Reply){}
 	h.remote = map[engine.AttemptID]*Host{}
@@ -64,7 +65,7 @@
 // DataCentre returns where the instance stands.
 func (h *Host) DataCentre() string { return h.centre }
 
-// Alive tells whether the node runs.
+// Alive tells whether the node runs, paused or not.
 func (h *Host) Alive() bool { return h.alive }
 
 // Kill ends the node and its upstream at once.
@@ -103,6 +104,42 @@
 	}
 }
 
+// Crash ends the upstream; a new one takes its place at once.
+func (h *Host) Crash() {
+	h.Upstream.reset()
+	h.Step(&engine.UpstreamCrashed{})
+}
+
+// Stop asks the node to stop gracefully.
+func (h *Host) Stop() {
+	h.markLeaving(true)
+	h.Step(&engine.StopRequested{})
+}
+
+func (h *Host) markLeaving(leaving bool) {
+	h.w.After(h.w.ListLag, func() {
+		list := slices.Clone(h.w.members)
+		for i := range list {
+			if list[i].Target == h.Target {
+				list[i].Leaving = leaving
+			}
+		}
+		h.w.members = list
+	})
+}
+
+// Open returns the number of calls the node has not answered yet.
+func (h *Host) Open() int { return len(h.waiting) }
+
+// Paused tells whether the node is paused.
+func (h *Host) Paused() bool { return h.paused }
+
+// Service returns the name of the service the node stands for.
+func (h *Host) Service() string { return h.service }
+
+// Incarnation counts the starts of the node.
+func (h *Host) Incarnation() uint64 { return h.incarnation }
+
 func (h *Host) tick(incarnation uint64) {
 	if !h.alive || h.incarnation != incarnation {
 		return
@@ -134,6 +171,9 @@
 	h.w.Stats.Steps++
 	actions := append([]engine.Action(nil), h.Node.Step(h.w.now, ev)...)
 	for _, a := range actions {
+		if h.w.OnAction != nil {
+			h.w.OnAction(h, a)
+		}
 		h.carryOut(a)
 	}
 }
@@ -185,15 +225,22 @@
 		Class: a.Class, Priority: a.Priority, Tokens: a.Tokens, Depth: a.Depth, Send: a.Send,
 		Rerun: a.Rerun, Heard: a.Heard,
 	}
+	copies := 0
 	h.w.deliver(h, to, func() {
+		copies++
 		if !to.alive {
-			h.w.deliver(to, h, fail(engine.FailureNotSent), func() {})
+			// Only the sender's own connection can tell that nothing was sent.
+			if copies == 1 {
+				h.w.deliver(to, h, fail(engine.FailureNotSent), func() {})
+			}
 			return
 		}
-		target := to.incarnation
+		target, copied := to.incarnation, *ev
 		to.runs[&request] = a.Stage == engine.StageRun
-		h.remote[a.Attempt] = to
-		to.Call(ev, func(r engine.Reply) {
+		if copies == 1 {
+			h.remote[a.Attempt] = to
+		}
+		to.Call(&copied, func(r engine.Reply) {
 			if to.incarnation != target {
 				return
 			}
@@ -246,6 +293,9 @@
 
 func (h *Host) read(r engine.Resource) {
 	incarnation := h.incarnation
+	if h.w.PlatformAway {
+		return
+	}
 	h.w.After(2*time.Millisecond, func() {
 		if r == engine.ResourceMembers {
 			h.stepAs(incarnation, &engine.MembersSeen{List: h.w.members})
