Let the node that is broken on purpose also hide that it leaves

Change: with the fault WorkWhileLeaving a node goes on telling that it serves. The test and its bound are as they were.

--- a/core/engine/lifecycle.go
+++ b/core/engine/lifecycle.go
@@ -54,7 +54,7 @@
 func (n *Node) live(e chart.Event) {
 	actions := n.life.Fire(e)
 	n.state = nodeStates[n.life.State()]
-	n.view.SetSelf(n.state)
+	n.view.SetSelf(n.toldState())
 	for _, a := range actions {
 		switch a {
 		case lifeAnnounce:
@@ -69,6 +69,14 @@
 	}
 }
 
+// toldState is the state that others are told.
+func (n *Node) toldState() wire.NodeState {
+	if n.state == wire.NodeLeaving && n.faults().WorkWhileLeaving {
+		return wire.NodeServing
+	}
+	return n.state
+}
+
 // stop begins the graceful stop: others are told at once, no new work is taken,
 // and what is in flight completes.
 func (n *Node) stop() { n.live(lifeStopRequested) }
--- a/core/engine/links.go
+++ b/core/engine/links.go
@@ -66,7 +66,7 @@
 // sendState sends one heartbeat and promises the next one.
 func (n *Node) sendState(p *member.Peer, next time.Duration) {
 	state := &wire.State{
-		State: n.state, Document: n.documents.Version(), Load: n.load(n.guard.Level()),
+		State: n.toldState(), Document: n.documents.Version(), Load: n.load(n.guard.Level()),
 		NextMS: uint32(next / time.Millisecond), Stamp: n.stamp(),
 	}
 	n.emit(&SendFrame{To: p.ID(), Frame: wire.Frame{State: state}})
