--- a/harness/cmd/harness/bench.go
+++ b/harness/cmd/harness/bench.go
@@ -13,6 +13,7 @@
 // benches are the parts of the bench subcommand, in the order of their lines.
 var benches = []func(out io.Writer) error{
 	bench.Decisions,
+	bench.Sockets,
 }
 
 func benchCommand() *ffcli.Command {
