Run the socket tests side by side

Cause: each node asks its peers for 3 s at its start, and the tests started one after the other. Change: every fleet test is parallel. Conclusion: none of them depended on the others.

--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -44,6 +44,7 @@
 }
 
 func newFleet(t *testing.T, targets ...string) *fleet {
+	t.Parallel()
 	doc, err := document.Parse([]byte(testDocument))
 	if err != nil {
 		t.Fatal(err)
