Let a call's own goroutine make its first attempt

Cause: each node handed a call to another goroutine and back; on a busy machine each switch waits for a processor. Change: the loop returns the first attempt of an arrival to the goroutine that serves the call; a timer looks whether the caller went away. Later attempts run in goroutines of their own, as before.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -117,10 +117,10 @@
 	d.carrier = attempt.New(attempt.Config{
 		Incarnation: self.Incarnation, Upstream: s.UpstreamAddress.String(),
 		UpstreamConnections: s.UpstreamConnections, PeerConnections: s.PeerConnections,
-		Source: source, MaxBody: s.BodyBytes, Directory: known, Tasks: d.tasks,
+		Source: source, MaxBody: s.BodyBytes, Directory: known,
 		Connected: d.metrics.Connected, Failed: d.exchangeFailed,
 	})
-	d.loop = loop.New(engineConfig(s, self), time.Now(), d)
+	d.loop = loop.New(engineConfig(s, self), time.Now(), d, d.tasks.Go)
 	d.carrier.Attach(d.loop)
 	d.hub = link.NewHub(link.Config{
 		Self: self, Service: s.Service, DataCentre: s.DataCentre, Source: source, MaxLinks: s.Links,
--- a/node/daemon/perform.go
+++ b/node/daemon/perform.go
@@ -9,13 +9,13 @@
 )
 
 // Perform carries one action out. It is called with the engine's lock held and
-// returns at once.
-func (d *Daemon) Perform(n *engine.Node, action engine.Action) {
+// returns at once; attempts are returned as work, to be run without the lock.
+func (d *Daemon) Perform(n *engine.Node, action engine.Action) (work func()) {
 	switch a := action.(type) {
 	case *engine.Dispatch:
-		d.carrier.Dispatch(a)
+		return d.carrier.Dispatch(a)
 	case *engine.SendCall:
-		d.carrier.Send(a)
+		return d.carrier.Send(a)
 	case *engine.CancelAttempt:
 		d.carrier.Cancel(a.Attempt)
 	case *engine.SendFrame:
@@ -33,6 +33,7 @@
 	case *engine.Stopped:
 		d.stopOnce.Do(func() { close(d.stopped) })
 	}
+	return nil
 }
 
 var logLevels = map[engine.LogLevel]logrus.Level{
--- a/node/internal/attempt/carrier.go
+++ b/node/internal/attempt/carrier.go
@@ -15,7 +15,6 @@
 	"github.com/shallotspool/shallotspool/node/internal/directory"
 	"github.com/shallotspool/shallotspool/node/internal/header"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
-	"github.com/shallotspool/shallotspool/node/internal/task"
 )
 
 // dialLimit is how long a new connection may take.
@@ -40,7 +39,6 @@
 	// MaxBody is the size of the largest answer, in bytes.
 	MaxBody   int
 	Directory *directory.Directory
-	Tasks     *task.Group
 	// Connected is called with the time each new connection took.
 	Connected func(time.Duration)
 	// Failed is called with each failed exchange.
@@ -73,10 +71,11 @@
 // Attach sets where events go.
 func (c *Carrier) Attach(s Stepper) { c.engine = s }
 
-// Dispatch runs a request on the own upstream. It returns at once.
-func (c *Carrier) Dispatch(a *engine.Dispatch) {
+// Dispatch returns the work that runs a request on the own upstream. From now
+// on the attempt can be cancelled.
+func (c *Carrier) Dispatch(a *engine.Dispatch) (work func()) {
 	f := c.flights.start(a.Attempt)
-	c.cfg.Tasks.Go(func() {
+	return func() {
 		defer c.flights.end(a.Attempt)
 		req := fasthttp.AcquireRequest()
 		defer fasthttp.ReleaseRequest(req)
@@ -84,13 +83,14 @@
 		req.Header.Set(header.Parent, header.FormatParent(c.cfg.Incarnation, a.Attempt))
 		setWait(req, a.Wait)
 		c.carry(a.Attempt, f, c.upstream, req, a.Wait, readUpstream)
-	})
+	}
 }
 
-// Send sends a request to another node. It returns at once.
-func (c *Carrier) Send(a *engine.SendCall) {
+// Send returns the work that sends a request to another node. From now on the
+// attempt can be cancelled.
+func (c *Carrier) Send(a *engine.SendCall) (work func()) {
 	f := c.flights.start(a.Attempt)
-	c.cfg.Tasks.Go(func() {
+	return func() {
 		defer c.flights.end(a.Attempt)
 		p := c.poolOf(a.Target)
 		if p == nil {
@@ -102,7 +102,7 @@
 		fill(req, a.Request, p.Address())
 		fillPeer(req, a)
 		c.carry(a.Attempt, f, p, req, a.Wait, readPeer)
-	})
+	}
 }
 
 // Cancel gives an attempt up and closes its connection.
--- a/node/internal/loop/loop.go
+++ b/node/internal/loop/loop.go
@@ -12,9 +12,10 @@
 )
 
 // Performer carries out actions. Perform is called with the loop's lock held:
-// it must return at once and must not call the Loop.
+// it must return at once and must not call the Loop. Work that may block is
+// returned, to be run without the lock; nil means that there is none.
 type Performer interface {
-	Perform(n *engine.Node, a engine.Action)
+	Perform(n *engine.Node, a engine.Action) (work func())
 }
 
 // Loop is one running engine. Its methods may be called from any goroutine.
@@ -22,6 +23,7 @@
 	mu        sync.Mutex
 	node      *engine.Node
 	performer Performer
+	spawn     func(work func())
 	start     time.Time
 	nextCall  engine.CallID
 	calls     map[engine.CallID]*Call
@@ -33,6 +35,16 @@
 	ID    engine.CallID
 	done  chan struct{}
 	reply engine.Reply
+	work  func()
+}
+
+// Work runs what the arrival of the call led to, if anything: usually its first
+// attempt. Whoever called Arrive calls it once; that saves two switches between
+// goroutines for each call.
+func (c *Call) Work() {
+	if c.work != nil {
+		c.work()
+	}
 }
 
 // Done is closed when the reply is there.
@@ -42,10 +54,11 @@
 func (c *Call) Reply() engine.Reply { return c.reply }
 
 // New returns a Loop over a new engine. start is the moment the engine counts
-// its time from; it must carry a monotonic reading.
-func New(cfg engine.Config, start time.Time, p Performer) *Loop {
+// its time from; it must carry a monotonic reading. spawn runs work that may
+// block in a goroutine of its own.
+func New(cfg engine.Config, start time.Time, p Performer, spawn func(work func())) *Loop {
 	return &Loop{
-		node: engine.New(cfg, time.Since(start)), performer: p, start: start,
+		node: engine.New(cfg, time.Since(start)), performer: p, spawn: spawn, start: start,
 		calls: map[engine.CallID]*Call{},
 	}
 }
@@ -54,7 +67,7 @@
 func (l *Loop) Step(ev engine.Event) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.step(ev)
+	l.step(ev, l.spawn)
 }
 
 // Arrive gives the engine a new call, whose ID it sets.
@@ -66,11 +79,17 @@
 	c.ID = l.nextCall
 	ev.ID = c.ID
 	l.calls[c.ID] = c
-	l.step(ev)
+	l.step(ev, func(work func()) {
+		if c.work != nil {
+			l.spawn(work)
+			return
+		}
+		c.work = work
+	})
 	return c
 }
 
-func (l *Loop) step(ev engine.Event) {
+func (l *Loop) step(ev engine.Event, run func(work func())) {
 	if l.closed {
 		return
 	}
@@ -79,7 +98,9 @@
 			l.reply(reply)
 			continue
 		}
-		l.performer.Perform(l.node, a)
+		if work := l.performer.Perform(l.node, a); work != nil {
+			run(work)
+		}
 	}
 }
 
--- a/node/internal/server/server.go
+++ b/node/internal/server/server.go
@@ -98,7 +98,7 @@
 	}
 	defer s.cfg.Held.give(held)
 	pending := s.cfg.Loop.Arrive(eventOf(ctx, s.cfg.Origin, &call))
-	if !s.wait(ctx.Conn(), pending) {
+	if !s.finish(ctx.Conn(), pending) {
 		_ = ctx.Conn().Close()
 		return
 	}
