--- a/core/admission/level.go
+++ b/core/admission/level.go
@@ -11,9 +11,12 @@
 	leastShare = 1.0 / 512
 	// demandWeight is the weight of the newest interval in the demand.
 	demandWeight = 0.3
+	// jumpWeight is its weight when it is more than jump times the smoothed one.
+	jump       = 1.5
+	jumpWeight = 0.8
 	// queueTarget is the queue time that keeps the upstream busy through short
 	// lulls, and queueSettle the time within which the level corrects it.
-	queueTarget = 40 * time.Millisecond
+	queueTarget = 30 * time.Millisecond
 	queueSettle = 400 * time.Millisecond
 	// idleOpen is the factor by which an upstream with room is opened further; it
 	// grows by idleGrowth with each interval up to idleMost, as the news of a move
@@ -21,6 +24,10 @@
 	idleOpen   = 1.05
 	idleGrowth = 1.1
 	idleMost   = 2.0
+	// raiseOpen is that factor after the intervals in which a move shows; from
+	// then on the level rises by it and by leastRaise priorities at least.
+	raiseOpen  = 1.4
+	leastRaise = 1
 	// levelFall and levelRise bound the share of its rate that a busy upstream
 	// is offered after one move.
 	levelFall = 0.6
@@ -86,7 +93,23 @@
 	if l.level == RankAll && float64(queued) <= l.rate*queueTarget.Seconds() {
 		return
 	}
+	before := l.level
 	l.move(l.wanted(busy, offered, queued))
+	if !busy && l.open > raiseOpen {
+		l.raise(before)
+	}
+}
+
+// raise lifts the level above the one before in any case: an upstream with room
+// opens even when the demand was last seen through a share too small to tell it.
+func (l *leveller) raise(before Rank) {
+	step := max(leastRaise, float64(before.priority())*(l.open-1))
+	lifted := int(before) + int(step)
+	if lifted >= int(RankOf(uint8(l.classes-1), Priorities-1)) {
+		l.level = RankAll
+		return
+	}
+	l.level = max(l.level, Rank(lifted))
 }
 
 // learnRate takes in the completions per second of one interval. Only one that
@@ -103,7 +126,8 @@
 func (l *leveller) learnDemand(elapsed time.Duration) float64 {
 	total := 0.0
 	for class := range l.classes {
-		l.seen[class] += demandWeight * (float64(l.offers[class])/elapsed.Seconds() - l.seen[class])
+		offered := float64(l.offers[class]) / elapsed.Seconds()
+		l.seen[class] += weightOf(offered, l.seen[class]) * (offered - l.seen[class])
 		l.shares[class] += demandWeight * (shareOf(class, l.past[0]) - l.shares[class])
 		if l.shares[class] > leastShare {
 			l.demand[class] = l.seen[class] / l.shares[class]
@@ -115,6 +139,15 @@
 	return total
 }
 
+// weightOf returns the weight of the newest interval: a jump in demand counts at
+// once, for what is let in meanwhile is wasted.
+func weightOf(offered, seen float64) float64 {
+	if offered > jump*seen {
+		return jumpWeight
+	}
+	return demandWeight
+}
+
 // shareOf returns the part of a class that a level lets through.
 func shareOf(class int, level Rank) float64 {
 	switch {
@@ -141,19 +174,22 @@
 	return l.rate * min(max(correction, levelFall), levelRise)
 }
 
-// move sets the level to where rate calls per second are offered.
+// move sets the level to where rate calls per second are offered. A class that
+// the upstream can serve whole is not cut to make up for a queue: its calls pass
+// those of the classes below.
 func (l *leveller) move(rate float64) {
-	top, room := l.level.class(), rate
+	top, room, able := l.level.class(), rate, l.rate
 	for class := 0; class < l.classes; class++ {
 		if class > top {
 			l.level = RankOf(uint8(class), min(classStep, uint16(share(room, l.demand[class]))))
 			return
 		}
-		if room < l.demand[class] {
+		if room < l.demand[class] && able < l.demand[class] {
 			l.level = RankOf(uint8(class), uint16(share(room, l.demand[class])))
 			return
 		}
-		room -= l.demand[class]
+		room = max(0, room-l.demand[class])
+		able -= l.demand[class]
 	}
 	l.level = RankAll
 }
--- a/core/engine/lifecycle.go
+++ b/core/engine/lifecycle.go
@@ -80,7 +80,7 @@
 func (n *Node) refusesNew(c *call) bool {
 	since := n.now - n.leavingSince
 	switch {
-	case n.state < wire.NodeLeaving || c.origin == OriginUpstream:
+	case n.state < wire.NodeLeaving || c.origin == OriginUpstream || n.faults().WorkWhileLeaving:
 		return false
 	case n.state == wire.NodeLeft:
 		return true
@@ -96,7 +96,11 @@
 		return
 	}
 	since := n.now - n.leavingSince
-	if since >= leavingLinger && len(n.calls) == 0 {
+	if since >= leavingGrace && !n.faults().WorkWhileLeaving {
+		n.refuseQueued(ReasonLeaving)
+	}
+	if since >= n.linger() && (len(n.calls) == 0 || n.faults().CutOnStop) {
+		n.checkNothingOpen()
 		n.checker.Check(len(n.attempts) == 0, invariant.Violation{
 			Name: invariant.InFlightIsKept, Detail: strconv.Itoa(len(n.attempts)) + " attempts open at the stop",
 		})
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -16,6 +16,7 @@
 	"github.com/shallotspool/shallotspool/core/invariant"
 	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/owner"
+	"github.com/shallotspool/shallotspool/core/poison"
 	"github.com/shallotspool/shallotspool/core/spread"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
@@ -41,6 +42,8 @@
 	CheckApart bool
 	// MaxCalls is the number of calls the node holds at once.
 	MaxCalls int
+	// Faults breaks promises on purpose, in tests only; nil breaks none.
+	Faults *Faults
 }
 
 // Node is the state machine. It is not safe for concurrent use.
@@ -56,6 +59,9 @@
 	balancer *balancer.Balancer
 	guard    *admission.Controller
 	keys     *owner.Table
+	issuer   *owner.Issuer
+	receipts *owner.Receipts
+	suspects *poison.Table
 	levels   levels
 	checker  invariant.Checker
 
@@ -72,6 +78,19 @@
 	trees    treeSizes
 	nextID   AttemptID
 	nextSend uint64
+	// owned finds the call that runs a key, and fences the open question about
+	// a send.
+	owned  map[string]*call
+	fences map[wire.SendID]*fence
+	// trials are the runs of suspect requests, by fingerprint.
+	trials map[uint64]*trial
+	// stamps holds the latest stamp of each peer, by target name.
+	stamps map[string]wire.Stamp
+	moved  []movedKeys
+
+	started time.Duration
+	// wokeUntil is when the node has caught up after a pause.
+	wokeUntil time.Duration
 	// refused counts refusals for Status.
 	refused map[refusal]uint64
 
@@ -98,9 +117,19 @@
 // New returns a node that starts at now.
 func New(cfg Config, now time.Duration) *Node {
 	n := &Node{
-		cfg:  cfg,
-		now:  now,
-		view: member.NewView(member.Config{Self: cfg.Self, Service: cfg.Service, DataCentre: cfg.DataCentre}),
+		cfg:      cfg,
+		now:      now,
+		started:  now,
+		issuer:   owner.NewIssuer(cfg.Self.Target, cfg.Self.Incarnation),
+		receipts: owner.NewReceipts(maxReceipts),
+		suspects: poison.New(poison.Config{Remember: suspicionLasts, Max: maxSuspects}),
+		owned:    map[string]*call{},
+		fences:   map[wire.SendID]*fence{},
+		trials:   map[uint64]*trial{},
+		stamps:   map[string]wire.Stamp{},
+		// Attempts of an earlier run of the node must not be taken for these.
+		nextID: AttemptID((cfg.Self.Incarnation - 1) << 32),
+		view:   member.NewView(member.Config{Self: cfg.Self, Service: cfg.Service, DataCentre: cfg.DataCentre}),
 		balancer: balancer.New(balancer.Config{
 			Seed: cfg.Seed, Self: cfg.Self.Target, DataCentre: cfg.DataCentre,
 			Outliers: cfg.Policy.Outliers, SlowStart: cfg.Policy.SlowStart, Spill: cfg.Policy.Spill,
@@ -130,8 +159,8 @@
 // about it, in order. now never goes back. The slice is the engine's own until
 // the next Step.
 func (n *Node) Step(now time.Duration, ev Event) []Action {
-	n.now = max(n.now, now)
 	n.out = n.out[:0]
+	n.notePause(max(n.now, now))
 	switch ev := ev.(type) {
 	case *CallArrived:
 		n.arrive(ev)
@@ -156,7 +185,9 @@
 		n.tick()
 	case *StopRequested:
 		n.stop()
-	case *HealthSeen, *UpstreamCrashed:
+	case *UpstreamCrashed:
+		n.upstreamCrashed()
+	case *HealthSeen:
 	}
 	return n.out
 }
--- a/core/engine/retry.go
+++ b/core/engine/retry.go
@@ -71,6 +71,9 @@
 	if !n.mayRetry(c) || !n.affords(c, cost) {
 		return false
 	}
+	if n.retryPoison(c) {
+		return true
+	}
 	peer := n.pick(c)
 	if peer == nil || !n.withinRatio(c) {
 		return false
@@ -96,7 +99,7 @@
 
 // repeatable tells whether c may be tried again although it may have run.
 func (n *Node) repeatable(c *call) bool {
-	return c.route.Idempotent || !n.cfg.Policy.Ownership
+	return c.route.Idempotent || !n.cfg.Policy.Ownership || n.faults().RetryLost
 }
 
 // mustOwn tells whether c belongs to the owner of its key, which has not let it
@@ -108,6 +111,9 @@
 
 // affords tells whether c has what an attempt of the given cost takes.
 func (n *Node) affords(c *call, cost int) bool {
+	if n.faults().FreeRetries {
+		return true
+	}
 	if n.cfg.Policy.Budget {
 		return c.pool.Free() >= cost
 	}
