--- /dev/null
+++ b/node/daemon/peers_test.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// peerCall is what a node sends to another; SENDER stands for its target.
+const peerCall = "GET /read/1 HTTP/1.1\r\nHost: x\r\nShallot-Wait-Ms: 500\r\nShallot-Budget: 0\r\nShallot-Class: 0\r\n" +
+	"Shallot-Priority: 0\r\nShallot-Depth: 0\r\nShallot-Stage: run\r\nShallot-Send: SENDER/1/1\r\nConnection: close\r\n\r\n"
+
+func TestUnknownSendersAreRefused(t *testing.T) {
+	f := newFleet(t, "front-1")
+	peers := f.nodes["front-1"].settings.ListenPeers.String()
+	answer := exchangeRaw(t, peers, strings.Replace(peerCall, "SENDER", "stranger-1", 1))
+	if !strings.HasPrefix(answer, "HTTP/1.1 400") || !strings.Contains(answer, "unknown_sender") {
+		t.Errorf("a stranger got %s", answer)
+	}
+	answer = exchangeRaw(t, peers, "GET /read/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	if !strings.HasPrefix(answer, "HTTP/1.1 400") || !strings.Contains(answer, "missing") {
+		t.Errorf("a caller at the peers' listener got %s", answer)
+	}
+	if n := f.runs("1"); n != 0 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+func TestCallEndsWhenItsCallerGoes(t *testing.T) {
+	f := newFleet(t, "front-1", "deep-1", "deep-2")
+	f.upstreams["front-1"].Work.Store(int64(time.Second))
+	conn, err := net.Dial("tcp", f.nodes["front-1"].settings.ListenCallers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Id: 1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	front := f.nodes["front-1"]
+	await(t, "the call runs", func() bool { return front.Status().InFlight == 1 })
+	_ = conn.Close()
+	await(t, "the call ends", func() bool { return front.loop.Open() == 0 })
+	cancelled := uint64(0)
+	for _, r := range front.Status().Refused {
+		if r.Reason == "cancelled" {
+			cancelled += r.Count
+		}
+	}
+	if cancelled != 1 {
+		t.Errorf("%d cancelled: %+v", cancelled, front.Status().Refused)
+	}
+}
