Let long chains learn their limits before the storm

Cause: in a chain of twelve, limits are learnt one layer after the other; the storm began two seconds after the first request.

Change: normal demand begins six seconds before the pressure in generated trees.

--- a/harness/measure/loss.go
+++ b/harness/measure/loss.go
@@ -96,6 +96,11 @@
 	return d, []byte(text)
 }
 
+// treeWarm is when the normal demand begins in a generated tree: its reads need
+// no owner that is older than the resend window, and the limits of a long chain
+// are learnt one layer after the other.
+const treeWarm = 2 * time.Second
+
 // The mean times an upstream of a generated tree works on a request itself; the
 // last layer is the smallest, as in the users' own chains.
 const (
--- a/harness/measure/run.go
+++ b/harness/measure/run.go
@@ -62,7 +62,11 @@
 	if err != nil {
 		return Result{}, err
 	}
-	offer(w, d, min(normalDemand, spec.Demand), warm, tail, 0)
+	from := warm
+	if spec.Tree != "" {
+		from = treeWarm
+	}
+	offer(w, d, min(normalDemand, spec.Demand), from, tail, 0)
 	s.trigger(w, d, spec.Demand)
 	w.Run(tail + 5*time.Second)
 	return resultOf(w, d, spec), nil
