--- a/core/engine/documents.go
+++ b/core/engine/documents.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"github.com/shallotspool/shallotspool/core/document"
-	"github.com/shallotspool/shallotspool/core/owner"
 	"github.com/shallotspool/shallotspool/core/spread"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
@@ -46,6 +45,10 @@
 // documentSeen takes what the platform gave; whether it counts is decided with
 // what other nodes say.
 func (n *Node) documentSeen(ev *DocumentSeen) {
+	if n.faults().OlderDocument {
+		n.takeOlder(ev.Text)
+		return
+	}
 	n.documents.PlatformRead(n.now, uint64(ev.Version), ev.Text)
 }
 
@@ -56,15 +59,13 @@
 
 // documentInForce follows a document that came into force.
 func (n *Node) documentInForce(d *document.Document) {
+	before := n.doc
+	n.checkNewer(before, d)
 	n.doc = d
 	n.callees = calleesOf(d, n.cfg.Service)
 	n.levels.forgetRoutes()
 	n.guard.SetClasses(n.classes())
-	if n.keys == nil {
-		n.keys = owner.NewTable(owner.Config{
-			Window: d.ResendWindow, MaxKeys: d.Answers.Keys, MaxBytes: d.Answers.Bytes,
-		}, n.now)
-	}
+	n.followDocument(before)
 	n.emit(&Log{Level: LogInfo, Message: "document in force", Fields: []Field{
 		{"version", strconv.FormatUint(uint64(d.Version), 10)},
 	}})
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -17,9 +17,27 @@
 	}
 	c := a.call
 	reply := ev.Reply
+	if n.faults().SwapAnswers {
+		a = n.wrongAttempt(a)
+		c = a.call
+	}
+	n.checkAnswer(a, reply)
 	n.hear(a, reply)
 	n.learnLevel(a, reply.Load)
 	n.endAttempt(a, resultOf(reply), reply.Tokens)
+	n.noteStamp(a.target, reply.Stamp)
+	n.learnCrash(a, reply)
+	switch {
+	case reply.Outcome == OutcomeNotRun && n.restamp(c, a, reply):
+	case a.stage == StageOwn:
+		n.answeredByOwner(c, reply)
+	default:
+		n.afterAnswer(c, reply)
+	}
+	n.drainQueue()
+}
+
+func (n *Node) afterAnswer(c *call, reply Reply) {
 	switch reply.Outcome {
 	case OutcomeNotRun:
 		n.afterRefusal(c, reply.Reason)
@@ -30,8 +48,10 @@
 		n.afterError(c, reply)
 	default:
 		n.end(c, reply)
+		if n.faults().AnswerTwice {
+			n.end(c, reply)
+		}
 	}
-	n.drainQueue()
 }
 
 // hear takes in the load that travelled with an answer. Its level is that of one
@@ -75,9 +95,14 @@
 		left = a.loan
 	}
 	n.endAttempt(a, balancer.ResultFailed, left)
-	if ev.Cause == FailureNotSent {
+	switch {
+	case ev.Cause == FailureNotSent && a.stage == StageOwn:
+		n.refuse(c, ReasonOwnerUnreachable)
+	case ev.Cause == FailureNotSent:
 		n.afterRefusal(c, ReasonNoTarget)
-	} else {
+	case n.fenceable(a):
+		n.askFate(a, false, ReasonAttemptLost)
+	default:
 		c.mayHaveRun = true
 		n.afterLoss(c)
 	}
@@ -106,6 +131,7 @@
 	})
 	a.call.pool.Return(a.loan, left)
 	n.closeAttempt(a)
+	n.settleTrial(a, r == balancer.ResultOK)
 }
 
 // afterRefusal goes on with a call whose last attempt certainly did not run.
@@ -119,12 +145,15 @@
 }
 
 // afterLoss goes on with a call whose last attempt may have run.
-func (n *Node) afterLoss(c *call) {
+func (n *Node) afterLoss(c *call) { n.afterLossFor(c, ReasonAttemptLost) }
+
+// afterLossFor is afterLoss for a known reason.
+func (n *Node) afterLossFor(c *call, reason Reason) {
 	c.rerun = true
 	if n.repeatable(c) && n.retry(c, n.treeSize(c.route)) {
 		return
 	}
-	n.end(c, Reply{Outcome: OutcomeUnknown, Reason: ReasonAttemptLost})
+	n.refuse(c, reason)
 }
 
 // afterError goes on with a call that an upstream failed. A node that is not
@@ -138,21 +167,23 @@
 
 // refuse ends c without a further attempt.
 func (n *Node) refuse(c *call, reason Reason) {
-	if c.mayHaveRun {
-		n.end(c, Reply{Outcome: OutcomeUnknown, Reason: reason})
-		return
-	}
-	reply := Reply{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryLater}
+	after := retryLater
 	if reason == ReasonBudget {
-		reply.RetryAfter = 0
+		after = 0
 	}
-	n.end(c, reply)
+	n.refuseAs(c, Reply{Reason: reason, RetryAfter: after})
 }
 
 // end answers c and forgets it.
 func (n *Node) end(c *call, reply Reply) {
-	n.settleOwner(c, reply)
+	if !n.checkEnd(c, reply) {
+		n.deadlines.remove(c)
+		return
+	}
 	n.forget(c)
+	n.settleOwner(c, reply)
+	n.settleSend(c, reply)
+	reply.Stamp = n.stamp()
 	n.checkPool(&c.pool, c)
 	n.settleAllotment(c, reply.Outcome)
 	reply.Tokens = c.pool.Free()
@@ -184,6 +215,7 @@
 func (n *Node) forget(c *call) {
 	delete(n.calls, c.id)
 	n.deadlines.remove(c)
+	n.dropFence(c)
 	if n.sends[c.send] == c {
 		delete(n.sends, c.send)
 	}
@@ -192,7 +224,9 @@
 // expire ends the calls whose deadline has come.
 func (n *Node) expire() {
 	for c := n.deadlines.first(); c != nil && c.deadline <= n.now; c = n.deadlines.first() {
-		n.giveUp(c, ReasonDeadline)
+		if !n.fenceAtDeadline(c) {
+			n.giveUp(c, ReasonDeadline)
+		}
 	}
 }
 
