--- a/harness/measure/case.go
+++ b/harness/measure/case.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/owner"
 	"github.com/shallotspool/shallotspool/harness/sim"
 )
 
@@ -55,13 +56,19 @@
 type scenario struct {
 	// trigger is called once the world is warm; pressure lasts from begin to end.
 	trigger func(w *sim.World, d deployment, demand float64)
+	// hard tells that callers send again what was not answered, at all times.
+	hard bool
+	// able returns the share of capacity that is there during the pressure; nil
+	// means all.
+	able func(d deployment) float64
 }
 
-// The times of every run. Nodes are older than the resend window when the first
-// requests come, as they are on an ordinary day.
+// The times of every run. Nodes are older than the resend window, and than what
+// owners add to it for sends under way, when the first requests come, as they
+// are on an ordinary day.
 const (
 	resendWindow = 5 * time.Second
-	warm         = resendWindow + time.Second
+	warm         = resendWindow + 2*owner.MaxSendAge + time.Second
 	begin        = warm + 2*time.Second
 	end          = begin + 4*time.Second
 	tail         = end + 6*time.Second
@@ -70,6 +77,14 @@
 // ablation begins the names of the policies that are full less one mechanism.
 const ablation = "full-"
 
+// scenario is the name of the scenario of s; generated trees have their own.
+func (s Spec) scenario() string {
+	if s.Tree != "" {
+		return s.Case + "_tree"
+	}
+	return s.Case
+}
+
 // policyOf returns the named policy.
 func policyOf(name string) (engine.Policy, error) {
 	switch name {
--- a/harness/measure/loss.go
+++ b/harness/measure/loss.go
@@ -13,7 +13,7 @@
 
 func init() {
 	scenarios["upstream_loss"] = scenario{trigger: upstreamLoss}
-	scenarios["retry_storm"] = scenario{trigger: storm}
+	scenarios["retry_storm_tree"] = scenario{trigger: storm}
 }
 
 // upstreamLoss crashes one instance of each service below the entry, one after
@@ -102,7 +102,7 @@
 // treeWarm is when the normal demand begins in a generated tree: its reads need
 // no owner that is older than the resend window, and the limits of a long chain
 // are learnt one layer after the other.
-const treeWarm = 2 * time.Second
+const treeWarm = begin - 6*time.Second
 
 // The mean times an upstream of a generated tree works on a request itself; the
 // last layer is the smallest, as in the users' own chains.
