--- a/harness/measure/run.go
+++ b/harness/measure/run.go
@@ -72,10 +72,14 @@
 	if err != nil {
 		return Result{}, err
 	}
+	from := warm
+	if spec.Tree != "" {
+		from = treeWarm
+	}
 	if s.hard {
-		offerHard(w, d, min(normalDemand, spec.Demand), warm, tail)
+		offerHard(w, d, min(normalDemand, spec.Demand), from, tail)
 	} else {
-		offer(w, d, min(normalDemand, spec.Demand), warm, tail, 0)
+		offer(w, d, min(normalDemand, spec.Demand), from, tail, 0)
 	}
 	s.trigger(w, d, spec.Demand)
 	w.Run(tail + 5*time.Second)
