Dip only under lasting pressure

Cause: a short burst at ordinary load began a dip, which refused calls there was room for; a low baseline made the limit fall while it was not reached.

Change: a dip is due once calls have waited for 20 ticks; below the limit only half of the runs queueing inside makes it fall; the baseline remembers 200 runs.

--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -14,6 +14,9 @@
 	// insideShare is the share of the runs queueing inside the upstream above
 	// which their number tells its slots.
 	insideShare = 0.3
+	// idleInsideShare is the same while the limit is not reached: there a fall
+	// can wait for surer signs.
+	idleInsideShare = 0.5
 	// doubt is the factor of a fall that a dip checks first.
 	doubt = 0.95
 	// lightShare is the share of the limit below which a run certainly met no
@@ -22,7 +25,7 @@
 	lightShare = 0.4
 	dipShare   = 0.6
 	// baseSamples is the memory of the baseline, in runs.
-	baseSamples = 100
+	baseSamples = 200
 	// baseJump is the factor between a window of light runs and the baseline at
 	// which the window replaces it.
 	baseJump = 1.5
@@ -33,6 +36,9 @@
 	quickerBy = 1.2
 	// dipInterval is the time between two dips while the limit is reached.
 	dipInterval = 2 * time.Second
+	// longWait is the number of ticks that calls wait before a dip is due: a dip
+	// within a short burst would refuse calls that there is room for.
+	longWait = 20
 	// dipPause is the least time between a dip and the next one that a
 	// suspected fall asks for.
 	dipPause = 500 * time.Millisecond
@@ -77,6 +83,8 @@
 	dipRuns  int
 	// judging tells that runs of the last dip have yet to end.
 	judging bool
+	// waited is the number of ticks that calls have been waiting for.
+	waited int
 }
 
 // window sums up samples.
@@ -219,8 +227,12 @@
 // tell.
 func (l *limiter) target(rate, inFlight float64, reached bool) (target float64, known bool) {
 	inside := max(0, rate*(l.own-l.base))
+	sure := insideShare
+	if !reached {
+		sure = idleInsideShare
+	}
 	switch {
-	case inside > insideShare*inFlight:
+	case inside > sure*inFlight:
 		l.settledOnce = true
 		return headroom*(min(l.limit, inFlight)-inside) + 1, true
 	case !reached:
@@ -240,6 +252,10 @@
 
 // tick begins and ends dips; reached tells that the limit is reached now.
 func (l *limiter) tick(now time.Duration, reached bool) {
+	l.waited++
+	if !reached {
+		l.waited = 0
+	}
 	switch {
 	case l.dipping && (l.dipRuns >= dipSamples || now-l.dipBegan > maxDip):
 		l.dipping, l.dipEnded = false, now
@@ -247,7 +263,7 @@
 		l.settled = now + seconds(l.base)
 	case l.judging && !l.dipping && now-l.dipEnded > maxDip:
 		l.judging = false
-	case !l.dipping && reached && l.base > 0 && l.dipDue(now, dipInterval):
+	case !l.dipping && l.waited >= longWait && l.base > 0 && l.dipDue(now, dipInterval):
 		l.dip(now)
 	}
 }
