--- a/core/engine/links.go
+++ b/core/engine/links.go
@@ -23,6 +23,10 @@
 	if p := n.view.LinkChanged(n.now, ev.Peer, ev.Up); p != nil {
 		n.welcome(p)
 	}
+	n.noteStamp(ev.Peer.Target, wire.Stamp{Incarnation: ev.Peer.Incarnation})
+	if ev.Up {
+		n.greet(ev.Peer)
+	}
 }
 
 // welcome tells a newly linked node all it should know of this one.
@@ -63,7 +67,7 @@
 func (n *Node) sendState(p *member.Peer, next time.Duration) {
 	state := &wire.State{
 		State: n.state, Document: n.documents.Version(), Load: n.load(n.guard.Level()),
-		NextMS: uint32(next / time.Millisecond),
+		NextMS: uint32(next / time.Millisecond), Stamp: n.stamp(),
 	}
 	n.emit(&SendFrame{To: p.ID(), Frame: wire.Frame{State: state}})
 }
@@ -75,6 +79,11 @@
 		// A node that the list does not name yet introduces itself.
 		n.memberTold(f.Member)
 	}
+	if f.Suspect != nil {
+		// A crash counts whatever is known of the node that tells it.
+		n.suspectHeard(ev.From, f.Suspect)
+		return
+	}
 	p := n.view.Fresh(n.now, ev.From)
 	if p == nil {
 		return
@@ -82,6 +91,7 @@
 	switch {
 	case f.State != nil:
 		n.view.Heartbeat(p, f.State)
+		n.noteStamp(p.Target, f.State.Stamp)
 		n.documents.Heard(n.now, p, f.State.Document)
 	case f.Digest != nil:
 		n.documents.Digest(n.now, p, f.Digest)
@@ -91,6 +101,10 @@
 		n.documents.Text(n.now, f.Document)
 	case f.Member != nil:
 		n.memberTold(f.Member)
+	case f.Fence != nil:
+		n.fenceAsked(ev.From, f.Fence)
+	case f.Fenced != nil:
+		n.fenced(f.Fenced)
 	case f.Cancel != nil:
 		if c := n.sends[f.Cancel.Send]; c != nil {
 			n.callerGone(c.id)
