--- a/node/daemon/faults_test.go
+++ b/node/daemon/faults_test.go
@@ -215,3 +215,33 @@
 		}
 	}
 }
+
+func TestKillCountsWhatItCuts(t *testing.T) {
+	f := newFleet(t, "front-1", "deep-1", "deep-2")
+	f.upstreams["front-1"].Work.Store(int64(time.Second))
+	front, caller := f.nodes["front-1"], f.caller("front-1")
+	const calls = 3
+	cut := make(chan int)
+	go func() {
+		for front.Status().InFlight < calls {
+			time.Sleep(time.Millisecond)
+		}
+		gaveUp, cancel := context.WithCancel(context.Background())
+		cancel()
+		if front.Stop(gaveUp) == nil {
+			t.Error("stopped gracefully with calls in flight")
+		}
+		cut <- front.Kill()
+	}()
+	results := many(calls, func(i int) standin.Result {
+		return caller.Do(f.call("front", "read", fmt.Sprintf("r%d", i)))
+	})
+	if n := <-cut; n != calls {
+		t.Errorf("%d cut", n)
+	}
+	for _, r := range results {
+		if r.Status != 0 {
+			t.Errorf("got %+v", r)
+		}
+	}
+}
--- a/node/internal/logging/logger.go
+++ b/node/internal/logging/logger.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,10 @@
 	lines   chan line
 	dropped atomic.Int64
 	done    chan struct{}
+
+	// mu keeps Close from closing lines while a line is queued.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New returns a Logger that writes to out until Close. level is a logrus level
@@ -69,6 +74,11 @@
 	if suppressed > 0 {
 		fields = append(fields[:len(fields):len(fields)], count("suppressed", suppressed))
 	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed {
+		return
+	}
 	select {
 	case l.lines <- line{now, level, message, fields}:
 	default:
@@ -76,9 +86,15 @@
 	}
 }
 
-// Close writes what waits and ends the Logger; nothing may be logged after it.
+// Close writes what waits and ends the Logger; what is logged after it is
+// dropped.
 func (l *Logger) Close() {
-	close(l.lines)
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.lines)
+	}
+	l.mu.Unlock()
 	<-l.done
 }
 
--- a/node/internal/loop/loop.go
+++ b/node/internal/loop/loop.go
@@ -134,6 +134,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	clear(l.calls)
 }
 
 // Status returns what the engine tells operators.
