Measure poison, partition and late wakes; take no send without a stamp

Change: a send may be 2 s old instead of 5, the window's slack is 3 s. A sender uses no stamp older than half of that. No send is taken without a stamp, whatever its route; two tests of the engine hand one over now. Three cases of measure.

--- a/core/engine/chain_test.go
+++ b/core/engine/chain_test.go
@@ -221,7 +221,7 @@
 	b.calls++
 	send := wire.SendID{Node: wire.NodeID{Target: "back-1", Incarnation: 7}, Sequence: 3}
 	b.step(&engine.CallArrived{
-		ID: b.calls, Origin: engine.OriginPeer, Stage: engine.StageRun, Send: send, Wait: time.Second,
+		ID: b.calls, Origin: engine.OriginPeer, Stage: engine.StageRun, Send: send, Wait: time.Second, Heard: wire.Stamp{Incarnation: 1},
 		Request: &engine.Request{Service: "front", Method: "GET", Path: "/front"},
 	})
 	if held := b.held(); held != 2 {
@@ -242,7 +242,7 @@
 		b := newBench(t, 10)
 		b.calls++
 		actions := b.step(&engine.CallArrived{
-			ID: b.calls, Origin: engine.OriginPeer, Stage: engine.StageRun, Wait: wait, Depth: hop,
+			ID: b.calls, Origin: engine.OriginPeer, Stage: engine.StageRun, Wait: wait, Depth: hop, Heard: wire.Stamp{Incarnation: 1},
 			Request: &engine.Request{Service: "front", Method: "GET", Path: "/front"},
 		})
 		dispatch := find[*engine.Dispatch](t, actions)
--- a/core/engine/faults.go
+++ b/core/engine/faults.go
@@ -62,8 +62,11 @@
 
 // linger is how long a leaving node stays at least.
 func (n *Node) linger() time.Duration {
-	if n.faults().WorkWhileLeaving {
+	switch {
+	case n.faults().WorkWhileLeaving:
 		return 3 * leavingLinger
+	case n.faults().CutOnStop:
+		return 0
 	}
 	return leavingLinger
 }
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -82,7 +82,7 @@
 	// trials are the runs of suspect requests, by fingerprint.
 	trials map[uint64]*trial
 	// stamps holds the latest stamp of each peer, by target name.
-	stamps map[string]wire.Stamp
+	stamps map[string]heardStamp
 	moved  []movedKeys
 
 	started time.Duration
@@ -123,7 +123,7 @@
 		owned:    map[string]*call{},
 		fences:   map[wire.SendID]*fence{},
 		trials:   map[uint64]*trial{},
-		stamps:   map[string]wire.Stamp{},
+		stamps:   map[string]heardStamp{},
 		// Attempts of an earlier run of the node must not be taken for these.
 		nextID: AttemptID((cfg.Self.Incarnation - 1) << 32),
 		view:   member.NewView(member.Config{Self: cfg.Self, Service: cfg.Service, DataCentre: cfg.DataCentre}),
--- a/core/engine/own.go
+++ b/core/engine/own.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/shallotspool/shallotspool/core/document"
@@ -200,8 +202,8 @@
 }
 
 // windowSlack is added to the resend window: a send made at its very end may be
-// that old when it comes.
-const windowSlack = 2 * owner.MaxSendAge
+// as old as sends may be, and its caller's node may have been a little slow.
+const windowSlack = owner.MaxSendAge + time.Second
 
 // fingerprintOf identifies what a request asks for, whatever its key.
 func fingerprintOf(r *Request) uint64 {
--- a/core/engine/receive.go
+++ b/core/engine/receive.go
@@ -21,15 +21,31 @@
 	}
 }
 
+// heardStamp is the latest stamp of a peer and when it came.
+type heardStamp struct {
+	wire.Stamp
+	at time.Duration
+}
+
 // noteStamp keeps the latest stamp of a peer.
 func (n *Node) noteStamp(target string, s wire.Stamp) {
 	known := n.stamps[target]
 	newer := s.Incarnation == known.Incarnation && s.Clock > known.Clock
 	if s.Incarnation > known.Incarnation || newer {
-		n.stamps[target] = s
+		n.stamps[target] = heardStamp{s, n.now}
 	}
 }
 
+// stampFor returns the stamp that goes with a send to target. An old one is not
+// used: without any, the receiver gives a new one and the send is made again.
+func (n *Node) stampFor(target string) wire.Stamp {
+	known := n.stamps[target]
+	if n.now-known.at > owner.MaxSendAge/2 {
+		return wire.Stamp{}
+	}
+	return known.Stamp
+}
+
 // receive decides whether a send from another node may go on. It refuses late
 // copies by their stamp, and sends that came before or were fenced by the
 // receipts.
@@ -63,8 +79,6 @@
 		return Reply{}
 	case !unstamped:
 		return Reply{Outcome: OutcomeUnknown, Reason: ReasonStale}
-	case c.route != nil && c.route.Idempotent:
-		return Reply{}
 	}
 	return Reply{Outcome: OutcomeNotRun, Reason: ReasonStale}
 }
--- a/core/engine/route.go
+++ b/core/engine/route.go
@@ -78,7 +78,7 @@
 	a := n.newAttempt(c, target, stage)
 	a.send = wire.SendID{Node: n.cfg.Self, Sequence: n.nextSend}
 	a.loan = n.lend(c, stage)
-	a.heard = n.stamps[target]
+	a.heard = n.stampFor(target)
 	c.launched = c.launched || stage == StageRun
 	n.balancer.Started(n.now, target)
 	n.emit(&SendCall{
--- a/core/owner/receipts.go
+++ b/core/owner/receipts.go
@@ -9,7 +9,7 @@
 // MaxSendAge is how old a send may be when it is taken. A copy that comes later
 // is refused by its stamp, so what is known of a send need not be remembered
 // for longer than this.
-const MaxSendAge = 5 * time.Second
+const MaxSendAge = 2 * time.Second
 
 // Fate is what a receiver knows of a send.
 type Fate uint8
--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -52,7 +52,8 @@
 			}
 		}
 	}
-	return append(specs, lossSpecs(seeds)...)
+	specs = append(specs, lossSpecs(seeds)...)
+	return append(specs, promiseSpecs(seeds)...)
 }
 
 // All runs what o takes and prints its lines to out, and progress to progress.
--- a/harness/measure/run.go
+++ b/harness/measure/run.go
@@ -63,9 +63,12 @@
 		return Result{}, err
 	}
 	offer(w, d, min(normalDemand, spec.Demand), warm, tail, 0)
+	told := newWatch(w)
 	s.trigger(w, d, spec.Demand)
 	w.Run(tail + 5*time.Second)
-	return resultOf(w, d, spec), nil
+	r := resultOf(w, d, spec)
+	r.FalseNotRun = told.False
+	return r, nil
 }
 
 var resendLine = regexp.MustCompile(`(?m)^resend_window:.*$`)
--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -22,6 +22,8 @@
 	Resends int
 	// ResendAfter is how long it waits before that; 0 means as it was told.
 	ResendAfter time.Duration
+	// Body is that of all its requests; empty gives each its own.
+	Body string
 }
 
 type request struct {
@@ -58,6 +60,9 @@
 	w.Stats.nextKey++
 	key := fmt.Sprintf("k%d", w.Stats.nextKey)
 	r := &request{load: l, route: route, sent: w.now, req: newRequest(route, key)}
+	if l.Body != "" {
+		r.req.Body = []byte(l.Body)
+	}
 	w.Stats.offered(w.now, route)
 	w.send(r)
 }
@@ -83,13 +88,17 @@
 		return
 	}
 	w.Stats.Attempts.Entered(r.req.Key, h.Target, attempts.Budget(w.Doc, r.route))
-	incarnation := h.incarnation
+	incarnation, send := h.incarnation, *r.req
+	send.Header = fmt.Appendf(nil, "%s#%d", send.Key, r.sends)
 	w.After(callerDelay, func() {
 		if !h.alive {
 			w.After(callerDelay, func() { w.settle(r, engine.Reply{Outcome: engine.OutcomeUnknown}) })
 			return
 		}
-		h.Call(&engine.CallArrived{Origin: engine.OriginCaller, Request: r.req}, func(reply engine.Reply) {
+		h.Call(&engine.CallArrived{Origin: engine.OriginCaller, Request: &send}, func(reply engine.Reply) {
+			if w.OnReply != nil {
+				w.OnReply(&send, reply)
+			}
 			if h.incarnation == incarnation {
 				w.After(callerDelay, func() { w.settle(r, reply) })
 			}
@@ -114,7 +123,7 @@
 func (w *World) settle(r *request, reply engine.Reply) {
 	inTime := w.now-r.sent <= r.route.Wait+2*callerDelay
 	if reply.Outcome == engine.OutcomeAnswered && inTime {
-		w.Stats.answered(w.now, r, string(reply.Answer.Body) != r.req.Key)
+		w.Stats.answered(w.now, r, string(reply.Answer.Body) != string(r.req.Body))
 		return
 	}
 	if r.sends <= r.load.Resends && w.now-r.sent < r.route.Wait {
--- a/harness/sim/world.go
+++ b/harness/sim/world.go
@@ -80,6 +80,8 @@
 	// OnRun and OnAction see what upstreams start and what nodes ask for.
 	OnRun    func(h *Host, r *engine.Request)
 	OnAction func(h *Host, a engine.Action)
+	// OnReply sees what callers of Offer are told of each of their sends.
+	OnReply func(send *engine.Request, r engine.Reply)
 
 	setup   Setup
 	text    []byte
