--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -137,7 +137,19 @@
 )
 
 // ReadPlatform asks for one read; the result comes back as an event.
-type ReadPlatform struct{ Resource Resource }
+type ReadPlatform struct {
+	Resource Resource
+	// Have is the version in force, for ResourceDocument: a platform that can
+	// tell need not send that one again, see DocumentSeen.
+	Have document.Version
+}
+
+// CheckDocument asks for document.Parse of Text off the engine's own thread; the
+// result comes back as DocumentChecked.
+type CheckDocument struct {
+	Version document.Version
+	Text    []byte
+}
 
 // Log asks for one log line.
 type Log struct {
@@ -195,6 +207,7 @@
 func (*OpenLink) action()      {}
 func (*CloseLink) action()     {}
 func (*ReadPlatform) action()  {}
+func (*CheckDocument) action() {}
 func (*Log) action()           {}
 func (*Measurement) action()   {}
 func (*Stopped) action()       {}
--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -49,7 +49,7 @@
 	if n.doc == nil {
 		return ReasonNoDocument
 	}
-	if n.refusesNew(c.origin) {
+	if n.refusesNew(c) {
 		return ReasonLeaving
 	}
 	if ev.Origin == OriginUpstream && ev.Parent != 0 && n.attempts[ev.Parent] == nil && n.cfg.Policy.Ownership {
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -62,6 +62,12 @@
 	h.tick(h.incarnation)
 }
 
+// DataCentre returns where the instance stands.
+func (h *Host) DataCentre() string { return h.centre }
+
+// Alive tells whether the node runs.
+func (h *Host) Alive() bool { return h.alive }
+
 // Kill ends the node and its upstream at once.
 func (h *Host) Kill() {
 	h.alive = false
@@ -125,9 +131,6 @@
 // Open returns the number of calls the node has not answered yet.
 func (h *Host) Open() int { return len(h.waiting) }
 
-// Alive tells whether the node runs, paused or not.
-func (h *Host) Alive() bool { return h.alive }
-
 // Paused tells whether the node is paused.
 func (h *Host) Paused() bool { return h.paused }
 
@@ -198,7 +201,8 @@
 	case *engine.ReadPlatform:
 		h.read(a.Resource)
 	case *engine.Stopped:
-		h.alive = false
+		h.w.Stats.Cut += len(h.waiting) + len(h.Upstream.jobs)
+		h.Kill()
 	}
 }
 
@@ -295,8 +299,8 @@
 	h.w.After(2*time.Millisecond, func() {
 		if r == engine.ResourceMembers {
 			h.stepAs(incarnation, &engine.MembersSeen{List: h.w.members})
-			return
+		} else if text := h.w.Published(h); text != nil {
+			h.stepAs(incarnation, &engine.DocumentSeen{Text: text})
 		}
-		h.stepAs(incarnation, &engine.DocumentSeen{Version: h.w.Doc.Version, Text: h.w.text})
 	})
 }
--- a/harness/sim/world.go
+++ b/harness/sim/world.go
@@ -69,6 +69,8 @@
 	Doc    *document.Document
 	// Cut tells which pairs of data centres have no connection.
 	Cut func(a, b string) bool
+	// Published gives the text that the platform shows a node, nil for none.
+	Published func(h *Host) []byte
 	// Loss and Copies are the shares of messages between nodes that are lost
 	// and that come again after up to MaxDelay, which also disorders them.
 	Loss, Copies float64
@@ -84,7 +86,6 @@
 	OnReply func(send *engine.Request, r engine.Reply)
 
 	setup   Setup
-	text    []byte
 	now     time.Duration
 	seq     uint64
 	timers  timerHeap
@@ -99,9 +100,10 @@
 		return nil, err
 	}
 	w := &World{
-		Random: rand.New(rand.NewPCG(s.Seed, 1)), Doc: doc, setup: s, text: s.Document,
+		Random: rand.New(rand.NewPCG(s.Seed, 1)), Doc: doc, setup: s,
 		byName: map[string]*Host{}, Cut: func(a, b string) bool { return false },
 	}
+	w.Published = func(*Host) []byte { return s.Document }
 	w.Stats.init()
 	for _, service := range doc.Services {
 		for i := 1; i <= service.Targets; i++ {
@@ -164,15 +166,6 @@
 	}
 }
 
-// Publish replaces the document that the platform serves.
-func (w *World) Publish(text []byte) error {
-	doc, err := document.Parse(text)
-	if err == nil {
-		w.Doc, w.text = doc, text
-	}
-	return err
-}
-
 // jitter draws an exponential time of the given mean.
 func (w *World) jitter(mean time.Duration) time.Duration {
 	return time.Duration(w.Random.ExpFloat64() * float64(mean))
