Give tokens back with a fence, and settle what arrivals were refused

Change: tokens of a fenced send come back when it has not run; every refused arrival settles its allotment. Conclusion: a certain not run is worth a retry.

--- a/core/engine/arrive.go
+++ b/core/engine/arrive.go
@@ -163,6 +163,7 @@
 
 // replyTo answers a call that is not registered.
 func (n *Node) replyTo(c *call, reply Reply) {
+	n.settleAllotment(c, OutcomeNotRun)
 	reply.Stamp = n.stamp()
 	reply.Tokens = c.pool.Free()
 	reply.Load = n.loadFor(c.route)
--- a/core/engine/fence.go
+++ b/core/engine/fence.go
@@ -24,6 +24,9 @@
 	// final is true when the call ends whatever the answer is.
 	final  bool
 	reason Reason
+	// loan is the tokens that went with the send; they come back when it has not
+	// run.
+	loan int
 	// deadline is the deadline of the call itself.
 	deadline time.Duration
 }
@@ -81,6 +84,11 @@
 	}
 	n.closeFence(f)
 	c := f.call
+	if m.Ran {
+		c.pool.Return(f.loan, 0)
+	} else {
+		c.pool.Return(f.loan, f.loan)
+	}
 	switch {
 	case f.stage == StageOwn && n.asksOwnerAgain(c, f):
 		c.mayHaveRun = c.mayHaveRun || m.Ran
--- a/core/engine/finish.go
+++ b/core/engine/finish.go
@@ -94,14 +94,20 @@
 	if ev.Cause == FailureNotSent {
 		left = a.loan
 	}
+	ask, loan := ev.Cause == FailureLost && n.fenceable(a), 0
+	if ask {
+		// What became of the tokens shows with what became of the send.
+		loan, a.loan = a.loan, 0
+	}
 	n.endAttempt(a, balancer.ResultFailed, left)
 	switch {
 	case ev.Cause == FailureNotSent && a.stage == StageOwn:
 		n.refuse(c, ReasonOwnerUnreachable)
 	case ev.Cause == FailureNotSent:
 		n.afterRefusal(c, ReasonNoTarget)
-	case n.fenceable(a):
+	case ask:
 		n.askFate(a, false, ReasonAttemptLost)
+		c.fence.loan = loan
 	default:
 		c.mayHaveRun = true
 		n.afterLoss(c)
