--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -24,6 +24,8 @@
 	ResendAfter time.Duration
 	// Body is that of all its requests; empty gives each its own.
 	Body string
+	// Issued lets callers ask the node where they enter for a key.
+	Issued bool
 }
 
 type request struct {
@@ -87,6 +89,9 @@
 	if h == nil {
 		return
 	}
+	if r.load.Issued && r.sends == 1 {
+		r.req.Key = h.Node.IssueKey()
+	}
 	w.Stats.Attempts.Entered(r.req.Key, h.Target, attempts.Budget(w.Doc, r.route))
 	incarnation, send := h.incarnation, *r.req
 	send.Header = fmt.Appendf(nil, "%s#%d", send.Key, r.sends)
