--- a/core/engine/receive.go
+++ b/core/engine/receive.go
@@ -101,7 +101,7 @@
 	if c.origin != OriginPeer || !n.cfg.Policy.Ownership || n.faults().TakeCopies {
 		return
 	}
-	if old := n.tooOld(c); old.Outcome != 0 {
+	if old := n.tooOld(c); old.Outcome == OutcomeUnknown {
 		*reply = old
 		return
 	}
--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -52,6 +52,7 @@
 			}
 		}
 	}
+	specs = append(specs, pressureSpecs(seeds)...)
 	specs = append(specs, lossSpecs(seeds)...)
 	specs = append(specs, promiseSpecs(seeds)...)
 	return append(specs, controlSpecs(seeds)...)
--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -26,6 +26,8 @@
 	Body string
 	// Issued lets callers ask the node where they enter for a key.
 	Issued bool
+	// Patience is how long it goes on sending; 0 means the route's wait.
+	Patience time.Duration
 }
 
 type request struct {
@@ -131,7 +133,7 @@
 		w.Stats.answered(w.now, r, string(reply.Answer.Body) != string(r.req.Body))
 		return
 	}
-	if r.sends <= r.load.Resends && w.now-r.sent < r.route.Wait {
+	if r.sends <= r.load.Resends && w.now-r.sent < max(r.route.Wait, r.load.Patience) {
 		after := r.load.ResendAfter
 		if after == 0 {
 			after = reply.RetryAfter
--- a/harness/sim/host.go
+++ b/harness/sim/host.go
@@ -65,7 +65,7 @@
 // DataCentre returns where the instance stands.
 func (h *Host) DataCentre() string { return h.centre }
 
-// Alive tells whether the node runs.
+// Alive tells whether the node runs, paused or not.
 func (h *Host) Alive() bool { return h.alive }
 
 // Kill ends the node and its upstream at once.
