--- a/harness/measure/promises_test.go
+++ b/harness/measure/promises_test.go
@@ -66,3 +66,53 @@
 		}
 	}
 }
+
+// crashesOf returns the crashes of upstreams in case poison.
+func crashesOf(t *testing.T, deployment, policy string, seed uint64) int {
+	t.Helper()
+	d := deployments[deployment]
+	text, err := documentText(filepath.Join("../../examples", d.document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := policyOf(policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := sim.NewWorld(sim.Setup{
+		Seed: seed, Document: text, DataCentres: d.centres, Shape: d.shape,
+		Configure: func(c *engine.Config) { configure(c, p) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	newWatch(w)
+	offer(w, d, normalDemand, warm, tail, 0)
+	poison(w, d, normalDemand)
+	w.Run(end + time.Second)
+	crashes := 0
+	for _, h := range w.Hosts {
+		crashes += h.Upstream.Epoch()
+	}
+	return crashes
+}
+
+// TestPoisonTakesDownTwoUpstreams: a request that crashes what runs it, sent
+// again under new keys, takes down two upstreams at most; without suspicion it
+// takes down many.
+func TestPoisonTakesDownTwoUpstreams(t *testing.T) {
+	for _, deployment := range []string{"comics", "charter"} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			full := crashesOf(t, deployment, "full", seed)
+			t.Logf("deployment=%s seed=%d full_crashes=%d", deployment, seed, full)
+			if full > 2 || full == 0 {
+				t.Errorf("%s, seed %d: %d crashes with suspicion", deployment, seed, full)
+			}
+		}
+		none := crashesOf(t, deployment, "none", 1)
+		t.Logf("deployment=%s seed=1 none_crashes=%d", deployment, none)
+		if none <= 2 {
+			t.Errorf("%s: %d crashes without suspicion: it tested nothing", deployment, none)
+		}
+	}
+}
