--- a/harness/measure/case.go
+++ b/harness/measure/case.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/owner"
 	"github.com/shallotspool/shallotspool/harness/sim"
 )
 
@@ -62,11 +63,12 @@
 	able func(d deployment) float64
 }
 
-// The times of every run. Nodes are older than the resend window when the first
-// requests come, as they are on an ordinary day.
+// The times of every run. Nodes are older than the resend window, and than what
+// owners add to it for sends under way, when the first requests come, as they
+// are on an ordinary day.
 const (
 	resendWindow = 5 * time.Second
-	warm         = resendWindow + time.Second
+	warm         = resendWindow + 2*owner.MaxSendAge + time.Second
 	begin        = warm + 2*time.Second
 	end          = begin + 4*time.Second
 	tail         = end + 6*time.Second
--- a/node/internal/platform/client.go
+++ b/node/internal/platform/client.go
@@ -45,7 +45,7 @@
 	return &Client{pool: pool.New(pool.Config{Address: address, Max: maxConnections})}
 }
 
-// Document reads the document and its version.
+// Document reads the document and its version, 0 if the platform does not tell.
 func (c *Client) Document(ctx context.Context) (document.Version, []byte, error) {
 	var version string
 	text, err := c.get(ctx, DocumentPath, document.MaxBytes, func(h *fasthttp.ResponseHeader) {
@@ -54,6 +54,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	if version == "" {
+		return 0, text, nil
+	}
 	n, err := strconv.ParseUint(version, 10, 64)
 	if err != nil {
 		return 0, nil, errors.Wrapf(ErrRead, "%s: %s is not a version", DocumentPath, VersionHeader)
