--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -31,7 +31,7 @@
 		Limit: n.guard.Limit(), InFlight: n.guard.InFlight(), Queued: n.guard.Queued(),
 		Level:   uint16(n.guard.Level()),
 		Refused: n.statusRefused(), Peers: n.statusPeers(),
-		Suspects:   []status.Suspect{},
+		Suspects:   n.statusSuspects(),
 		Violations: n.statusViolations(), ViolationCount: n.checker.Count(),
 	}
 	s.PeerCount = len(n.view.All())
@@ -98,3 +98,15 @@
 	}
 	return list
 }
+
+func (n *Node) statusSuspects() []status.Suspect {
+	list := []status.Suspect{}
+	records := n.suspects.Records()
+	for _, r := range records[max(0, len(records)-status.MaxSuspects):] {
+		list = append(list, status.Suspect{
+			Fingerprint: strconv.FormatUint(r.Fingerprint, 16), Crashes: r.Total(),
+			RemainingMS: (r.Expires - n.now).Milliseconds(),
+		})
+	}
+	return list
+}
