--- a/core/engine/lifecycle_test.go
+++ b/core/engine/lifecycle_test.go
@@ -21,12 +21,14 @@
 	return states
 }
 
-// peerCall is a send of back-1 that this node's own upstream shall run.
-func peerCall(id engine.CallID) *engine.CallArrived {
+// peerCall is a send of back-1 that this node's own upstream shall run; clock is
+// the node's own time that back-1 last heard, in milliseconds.
+func peerCall(id engine.CallID, clock uint64) *engine.CallArrived {
 	return &engine.CallArrived{
 		ID: id, Origin: engine.OriginPeer, Stage: engine.StageRun,
 		Request: &engine.Request{Service: "front", Method: "GET", Path: "/front"}, Wait: 5 * time.Minute,
-		Send: wire.SendID{Node: wire.NodeID{Target: "back-1", Incarnation: 7}, Sequence: uint64(id)},
+		Send:  wire.SendID{Node: wire.NodeID{Target: "back-1", Incarnation: 7}, Sequence: uint64(id)},
+		Heard: wire.Stamp{Incarnation: 1, Clock: clock},
 	}
 }
 
@@ -36,14 +38,14 @@
 func TestDrain(t *testing.T) {
 	b := newBench(t, 10)
 	b.step(&engine.DocumentSeen{Text: []byte(longWaits())})
-	dispatch := find[*engine.Dispatch](t, b.step(peerCall(101)))
+	dispatch := find[*engine.Dispatch](t, b.step(peerCall(101, 0)))
 
 	states := told(b.step(&engine.StopRequested{}))
 	if states["back-1"] != wire.NodeLeaving || states["back-2"] != wire.NodeLeaving {
 		t.Fatalf("told %v", states)
 	}
 	b.now += 2 * time.Second
-	reply := find[*engine.ReplyCall](t, b.step(peerCall(102))).Reply
+	reply := find[*engine.ReplyCall](t, b.step(peerCall(102, 2000))).Reply
 	if reply.Outcome != engine.OutcomeNotRun || reply.Reason != engine.ReasonLeaving {
 		t.Fatalf("a later send got %+v", reply)
 	}
--- a/harness/measure/run.go
+++ b/harness/measure/run.go
@@ -72,17 +72,24 @@
 	if err != nil {
 		return Result{}, err
 	}
+	from := warm
+	if spec.Tree != "" {
+		from = treeWarm
+	}
 	if s.hard {
-		offerHard(w, d, min(normalDemand, spec.Demand), warm, tail)
+		offerHard(w, d, min(normalDemand, spec.Demand), from, tail)
 	} else {
-		offer(w, d, min(normalDemand, spec.Demand), warm, tail, 0)
+		offer(w, d, min(normalDemand, spec.Demand), from, tail, 0)
 	}
+	told := newWatch(w)
 	s.trigger(w, d, spec.Demand)
 	w.Run(tail + 5*time.Second)
 	if s.able != nil {
 		d.capacity *= s.able(d)
 	}
-	return resultOf(w, d, spec), nil
+	r := resultOf(w, d, spec)
+	r.FalseNotRun = told.False
+	return r, nil
 }
 
 var resendLine = regexp.MustCompile(`(?m)^resend_window:.*$`)
--- a/harness/sim/world.go
+++ b/harness/sim/world.go
@@ -82,6 +82,8 @@
 	// OnRun and OnAction see what upstreams start and what nodes ask for.
 	OnRun    func(h *Host, r *engine.Request)
 	OnAction func(h *Host, a engine.Action)
+	// OnReply sees what callers of Offer are told of each of their sends.
+	OnReply func(send *engine.Request, r engine.Reply)
 
 	setup   Setup
 	now     time.Duration
@@ -164,15 +166,6 @@
 	}
 }
 
-// Publish replaces the document that the platform serves.
-func (w *World) Publish(text []byte) error {
-	doc, err := document.Parse(text)
-	if err == nil {
-		w.Doc, w.Published = doc, func(*Host) []byte { return text }
-	}
-	return err
-}
-
 // jitter draws an exponential time of the given mean.
 func (w *World) jitter(mean time.Duration) time.Duration {
 	return time.Duration(w.Random.ExpFloat64() * float64(mean))
--- a/harness/soak/faults.go
+++ b/harness/soak/faults.go
@@ -188,9 +188,8 @@
 }
 
 func (f *injector) show(version int) {
-	if err := f.w.Publish(documentText(version)); err != nil {
-		panic(err)
-	}
+	text := documentText(version)
+	f.w.Published = func(*sim.Host) []byte { return text }
 }
 
 // poison makes callers send a request that crashes what runs it, under new keys
