Read the refusals metric by the name that nodes give it

Cause: shallotctl report looked for shallotspool_refused_total; nodes export shallot_refused_total. Change: the name.

--- a/ctl/internal/report/run.go
+++ b/ctl/internal/report/run.go
@@ -43,7 +43,7 @@
 const (
 	maxLines      = 200_000
 	maxLineBytes  = 64 << 10
-	refusedMetric = "shallotspool_refused_total"
+	refusedMetric = "shallot_refused_total"
 )
 
 // LineError tells which line of a file could not be read.
