Let callers in the soak use issued keys

Cause: issued keys were tested alone, not under faults. Change: where a caller's draw falls on a node of the service, it asks it for the key.

--- a/harness/soak/caller.go
+++ b/harness/soak/caller.go
@@ -60,7 +60,7 @@
 // make starts one order; a poisonous body crashes what runs it.
 func (c *callers) make(k kind, body string) {
 	c.next++
-	o := &order{kind: k, key: fmt.Sprintf("k%d", c.next), first: c.w.Now()}
+	o := &order{kind: k, key: c.key(k), first: c.w.Now()}
 	o.body = body
 	if body == "" {
 		o.body = o.key
@@ -71,6 +71,16 @@
 	}
 }
 
+// key returns the caller's own key, or now and then one that a node of the
+// service issued.
+func (c *callers) key(k kind) string {
+	h := c.w.Hosts[c.w.Random.IntN(len(c.w.Hosts))]
+	if h.Service() == k.service && h.Alive() && !h.Paused() {
+		return h.Node.IssueKey()
+	}
+	return fmt.Sprintf("k%d", c.next)
+}
+
 func (c *callers) later(most time.Duration, do func()) {
 	c.w.After(time.Duration(c.w.Random.Int64N(int64(most))+1), do)
 }
