Measure every refusal, also those on arrival

Change: countRefusal emits the sample for both; NoClass stands for no route. Measured: TestEveryRefusalIsMeasured fails before and passes after.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -12,6 +12,10 @@
 // Class is the rank of a class in the document's order; 0 matters most.
 type Class uint8
 
+// NoClass stands for the class of a request that no route fits. No document has
+// so many classes.
+const NoClass Class = 0xff
+
 // Document is one checked document.
 type Document struct {
 	Version Version
--- a/core/engine/action.go
+++ b/core/engine/action.go
@@ -189,7 +189,6 @@
 	MetricQueueTime Metric = iota + 1
 	MetricUpstreamTime
 	MetricCallTime
-	MetricAttempts
 	MetricRefused
 	MetricViolation
 	// MetricAddedTime is what a finished call took here beside its attempts.
--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -16,11 +16,17 @@
 	reason Reason
 }
 
-// countRefusal counts a reply that is a refusal.
+// countRefusal counts a reply that is a refusal, for Status and the metrics.
 func (n *Node) countRefusal(c *call, reply Reply) {
-	if reply.Reason != ReasonNone {
-		n.refused[refusal{c.class, reply.Reason}]++
+	if reply.Reason == ReasonNone {
+		return
 	}
+	class := c.class
+	if c.route == nil {
+		class = document.NoClass
+	}
+	n.refused[refusal{class, reply.Reason}]++
+	n.emit(&Measurement{Metric: MetricRefused, Class: class, Reason: reply.Reason, Count: 1})
 }
 
 // Status returns what the node tells operators of itself.
--- a/node/internal/metrics/metrics.go
+++ b/node/internal/metrics/metrics.go
@@ -74,9 +74,9 @@
 	case engine.MetricCallTime:
 		m.counter(series{name: callsName, label: "class", value: class}).Inc(1)
 		m.counter(series{name: attemptsName, label: "class", value: class}).Inc(int64(s.Count))
-		if s.Reason != engine.ReasonNone {
-			m.counter(series{refusedName, "class", class, s.Reason.String()}).Inc(1)
-		}
+	case engine.MetricRefused:
+		m.counter(series{refusedName, "class", class, s.Reason.String()}).Inc(int64(s.Count))
+		return
 	}
 	name := histogramNames[s.Metric]
 	if name == "" {
