--- a/ctl/internal/report/report_test.go
+++ b/ctl/internal/report/report_test.go
@@ -39,10 +39,10 @@
 
 func TestBrokenLinesAreNamed(t *testing.T) {
 	for text, want := range map[string]string{
-		"\ncase=surge demand=abc\n":                      `f:2: demand="abc" is no number`,
-		"case=surge oops\n":                              `f:1: "oops" is no key=value pair`,
-		"shallot_refused_total{class=\"a\"} many\n": `f:1: "many" is no number`,
-		"case=" + strings.Repeat("x", 70_000) + "\n":     `f:1: bufio.Scanner: token too long`,
+		"\ncase=surge demand=abc\n":                  `f:2: demand="abc" is no number`,
+		"case=surge oops\n":                          `f:1: "oops" is no key=value pair`,
+		"shallot_refused_total{class=\"a\"} many\n":  `f:1: "many" is no number`,
+		"case=" + strings.Repeat("x", 70_000) + "\n": `f:1: bufio.Scanner: token too long`,
 	} {
 		var in report.Input
 		err := in.Read("f", strings.NewReader(text))
