--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,4 @@
 	@go run ./harness/cmd/harness bench
 
 demo:
-	@go run ./harness/cmd/harness demo $(if $(COMPARE),-compare)
+	@go run ./harness/cmd/harness demo
--- a/harness/measure/all.go
+++ b/harness/measure/all.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"runtime/debug"
 	"strings"
 
 	"github.com/sourcegraph/conc/iter"
@@ -58,8 +59,13 @@
 	return append(specs, controlSpecs(seeds)...)
 }
 
+// collectPercent lets the heap grow further than usual between collections: the
+// runs make much that lives shortly, and memory is not what they wait for.
+const collectPercent = 800
+
 // All runs what o takes and prints its lines to out, and progress to progress.
 func All(examples string, o Options, out, progress io.Writer) error {
+	defer debug.SetGCPercent(debug.SetGCPercent(collectPercent))
 	var specs []Spec
 	seen := map[Spec]bool{}
 	for _, s := range Specs(o.seeds()) {
--- a/harness/measure/loss.go
+++ b/harness/measure/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/owner"
@@ -52,10 +53,16 @@
 	return withSeeds(specs, seeds)
 }
 
+// withSeeds returns the runs with each seed; an ablation is one line, with the
+// first.
 func withSeeds(specs []Spec, seeds []uint64) []Spec {
 	var all []Spec
 	for _, s := range specs {
-		for _, seed := range seeds {
+		own := seeds
+		if strings.HasPrefix(s.Policy, ablation) {
+			own = seeds[:1]
+		}
+		for _, seed := range own {
 			s.Seed = seed
 			all = append(all, s)
 		}
--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -71,10 +71,12 @@
 	w.send(r)
 }
 
+// example turns a path pattern into a path that fits it.
+var example = strings.NewReplacer("{", "", "}", "")
+
 func newRequest(route *document.Route, key string) *engine.Request {
-	path := strings.NewReplacer("{", "", "}", "").Replace(route.Path)
 	return &engine.Request{
-		Service: route.Service, Method: route.Method, Path: path, Key: key, Body: []byte(key),
+		Service: route.Service, Method: route.Method, Path: example.Replace(route.Path), Key: key, Body: []byte(key),
 	}
 }
 
