--- a/core/engine/refusal_test.go
+++ b/core/engine/refusal_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -22,3 +23,18 @@
 		t.Fatalf("measured %+v", m)
 	}
 }
+
+// TestRetryOnNotRun: a route that asks for it is not repeated after an attempt
+// that may have run, though it is idempotent.
+func TestRetryOnNotRun(t *testing.T) {
+	b := newBench(t, 10)
+	text := strings.NewReplacer("version: 1", "version: 2", "retries: 2}", "retries: 2, retry_on: not_run}").Replace(chainDocument)
+	b.step(&engine.DocumentSeen{Text: []byte(text)})
+	_, actions := b.call("k")
+	id, actions := b.child(find[*engine.Dispatch](t, actions).Attempt)
+	lost := find[*engine.SendCall](t, actions)
+	end := find[*engine.ReplyCall](t, b.step(&engine.AttemptFailed{Attempt: lost.Attempt, Cause: engine.FailureLost}))
+	if end.ID != id || end.Reply.Outcome != engine.OutcomeUnknown {
+		t.Fatalf("reply %+v", end)
+	}
+}
--- a/core/engine/retry.go
+++ b/core/engine/retry.go
@@ -99,7 +99,7 @@
 
 // repeatable tells whether c may be tried again although it may have run.
 func (n *Node) repeatable(c *call) bool {
-	return c.route.Idempotent || !n.cfg.Policy.Ownership || n.faults().RetryLost
+	return c.route.RetryLost || !n.cfg.Policy.Ownership || n.faults().RetryLost
 }
 
 // mustOwn tells whether c belongs to the owner of its key, which has not let it
--- a/node/daemon/fleet_test.go
+++ b/node/daemon/fleet_test.go
@@ -108,6 +108,12 @@
 // settle returns when each node has the document, knows all others and is
 // linked to them.
 func (f *fleet) settle(targets []string) {
+	f.t.Helper()
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.report()
+		}
+	})
 	for _, target := range targets {
 		await(f.t, target+" settled", func() bool {
 			s := f.nodes[target].Status()
@@ -122,6 +128,17 @@
 	}
 }
 
+// report logs what each node knows, to tell why a test failed.
+func (f *fleet) report() {
+	for target, d := range f.nodes {
+		s := d.Status()
+		f.t.Logf("%s: %s, document %+v, charts %+v", target, s.State, s.Document, s.Charts)
+		for _, p := range s.Peers {
+			f.t.Logf("  %+v", p)
+		}
+	}
+}
+
 func (f *fleet) caller(target string) *standin.Caller {
 	return &standin.Caller{Address: f.nodes[target].settings.ListenCallers.String()}
 }
