Let no short queue inside the upstream lower the limit

Cause: make bench at low load refused calls: with runs of 0.1 ms the machine's noise doubles the own time of a window, which the limiter took for a queue of more than half of what was in flight, and the limit fell from 20 to a few calls. Change: a fall needs a queueing time above 1 ms.

--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -19,6 +19,9 @@
 	idleInsideShare = 0.5
 	// doubt is the factor of a fall that a dip checks first.
 	doubt = 0.95
+	// shortQueue is the queueing time inside the upstream that is not worth a
+	// fall: on short runs the noise of the machine looks the same.
+	shortQueue = time.Millisecond
 	// lightShare is the share of the limit below which a run certainly met no
 	// queue inside the upstream, also when the limit is far too high, and dipShare
 	// the one it dips to, below the slots when the limit is near them.
@@ -226,13 +229,14 @@
 // runs per second while inFlight were running; known is false when that does not
 // tell.
 func (l *limiter) target(rate, inFlight float64, reached bool) (target float64, known bool) {
-	inside := max(0, rate*(l.own-l.base))
+	queueing := max(0, l.own-l.base)
+	inside := rate * queueing
 	sure := insideShare
 	if !reached {
 		sure = idleInsideShare
 	}
 	switch {
-	case inside > sure*inFlight:
+	case inside > sure*inFlight && queueing > shortQueue.Seconds():
 		l.settledOnce = true
 		return headroom*(min(l.limit, inFlight)-inside) + 1, true
 	case !reached:
--- a/core/admission/limit_test.go
+++ b/core/admission/limit_test.go
@@ -183,3 +183,26 @@
 		}
 	}
 }
+
+// TestNoiseOfShortRunsMovesNothing: runs of a tenth of a millisecond that now
+// and then take six times as long, one at a time, are no overload.
+func TestNoiseOfShortRunsMovesNothing(t *testing.T) {
+	const usual, slow, gap = 100 * time.Microsecond, 600 * time.Microsecond, time.Millisecond
+	l := newLimiter(Config{Initial: 20, Min: 1, Max: 1000})
+	now := time.Duration(0)
+	for i := range 20_000 {
+		own := usual
+		if i/200%2 == 1 {
+			own = slow
+		}
+		light := l.isLight(1)
+		l.started(now, 1)
+		now += own
+		l.done(now, own, own, light)
+		now += gap
+		l.tick(now, false)
+		if l.current() < 20 {
+			t.Fatalf("after %d runs the limit is %d", i, l.current())
+		}
+	}
+}
