Draw the report for many cases and policies

Cause: with the whole output of make measure the legend hid the lines, names of cases overlapped, and eleven bars a case could not be told apart (looked at as pictures). Change: plots show whole policies only, ablations keep their rows; legend on the left above the data; slanted names.

--- a/ctl/internal/report/page.go
+++ b/ctl/internal/report/page.go
@@ -3,6 +3,8 @@
 import (
 	"html/template"
 	"io"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -56,10 +58,11 @@
 
 func (in *Input) plots() ([]template.HTML, error) {
 	var all []template.HTML
-	policies := distinct(in.Runs, func(r Run) string { return r.Policy })
-	for _, deployment := range distinct(in.Runs, func(r Run) string { return r.Deployment }) {
-		for _, name := range distinct(in.Runs, func(r Run) string { return r.Case }) {
-			s := goodputSeries(in.Runs, name, deployment)
+	runs := whole(in.Runs)
+	policies := distinct(runs, func(r Run) string { return r.Policy })
+	for _, deployment := range distinct(runs, func(r Run) string { return r.Deployment }) {
+		for _, name := range distinct(runs, func(r Run) string { return r.Case }) {
+			s := goodputSeries(runs, name, deployment)
 			if len(s) == 0 {
 				continue
 			}
@@ -69,7 +72,7 @@
 			}
 			all = append(all, p)
 		}
-		p, err := bars("Recovery: "+deployment, "seconds", policies, recoveryGroups(in.Runs, deployment, policies))
+		p, err := bars("Recovery: "+deployment, "seconds", policies, recoveryGroups(runs, deployment, policies))
 		if err != nil {
 			return nil, err
 		}
@@ -83,6 +86,11 @@
 	return append(all, p), err
 }
 
+// whole leaves the ablations out; they have rows in the table.
+func whole(runs []Run) []Run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return strings.Contains(r.Policy, "-") })
+}
+
 // means folds the runs that differ only in their seed into one row.
 func means(runs []Run) []Run {
 	type key struct {
--- a/ctl/internal/report/plot.go
+++ b/ctl/internal/report/plot.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"html/template"
+	"math"
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
@@ -17,10 +18,14 @@
 	plotWidth  = 16 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
 	barWidth   = 0.35 * vg.Centimeter
+	// labelRotation is in radians; names of cases are longer than their bars.
+	labelRotation = math.Pi / 7
 	// margin keeps the labels at the axes' ends inside the picture.
 	margin = 0.4 * vg.Centimeter
 	// legendPadding separates a legend entry from its mark.
 	legendPadding = 0.1 * vg.Centimeter
+	// barHeadroom leaves room for the legend above the highest bar.
+	barHeadroom = 1.4
 	// goodputAxis leaves room for the legend above a goodput of 1.
 	goodputAxis = 1.4
 )
@@ -64,18 +69,21 @@
 		p.Add(chart)
 		p.Legend.Add(name, chart)
 	}
+	p.Y.Max *= barHeadroom
 	labels := make([]string, len(groups))
 	for i, g := range groups {
 		labels[i] = g.name
 	}
 	p.NominalX(labels...)
+	p.X.Tick.Label.Rotation = labelRotation
+	p.X.Tick.Label.XAlign, p.X.Tick.Label.YAlign = draw.XRight, draw.YTop
 	return svg(p)
 }
 
 func newPlot(title, x, y string) *plot.Plot {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.Legend.Top, p.Legend.Padding = true, legendPadding
+	p.Legend.Top, p.Legend.Left, p.Legend.Padding = true, true, legendPadding
 	p.Add(plotter.NewGrid())
 	return p
 }
