Show an oversized document in the status, and let the stand-in stall

Cause: a document over 1 MB ended as a failed read: a log line at the readers, and nothing in shallotctl status. The platform's stand-in could lag, lie and go away but not stall. Change: the client hands a text of one byte over the limit on, with the version; the check refuses it by its size, as any other. The stand-in can stall.

--- a/core/engine/refusal_test.go
+++ b/core/engine/refusal_test.go
@@ -38,3 +38,14 @@
 		t.Fatalf("reply %+v", end)
 	}
 }
+
+// TestOversizedDocumentShows: a document over 1 MB is refused with its version
+// and the reason in the status, and the one in force stays.
+func TestOversizedDocumentShows(t *testing.T) {
+	b := newBench(t, 10)
+	b.step(&engine.DocumentSeen{Version: 9, Text: make([]byte, document.MaxBytes+1)})
+	d := b.node.Status().Document
+	if d.Version != 1 || d.Refused != 9 || !strings.Contains(d.Reason, "1048577 bytes") {
+		t.Fatalf("status %+v", d)
+	}
+}
--- a/harness/standin/platform.go
+++ b/harness/standin/platform.go
@@ -32,6 +32,7 @@
 	text    []byte
 	list    []byte
 	away    bool
+	stalled chan struct{}
 }
 
 // NewPlatform starts a Platform.
@@ -69,10 +70,25 @@
 	p.away = away
 }
 
+// Stall lets every read wait until the returned function is called.
+func (p *Platform) Stall() (resume func()) {
+	stalled := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stalled = stalled
+	return func() { close(stalled) }
+}
+
 // Close ends the Platform.
 func (p *Platform) Close() { _ = p.server.Shutdown() }
 
 func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
+	p.mu.Lock()
+	stalled := p.stalled
+	p.mu.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch path := string(ctx.Path()); {
--- a/node/internal/platform/client.go
+++ b/node/internal/platform/client.go
@@ -50,7 +50,7 @@
 func (c *Client) Document(ctx context.Context, have document.Version) (document.Version, []byte, error) {
 	var version string
 	text, err := c.get(ctx, question{
-		path: DocumentPath, limit: document.MaxBytes, have: have,
+		path: DocumentPath, limit: document.MaxBytes, have: have, oversized: true,
 		head: func(h *fasthttp.ResponseHeader) { version = string(h.Peek(VersionHeader)) },
 	})
 	if err != nil || text == nil {
@@ -84,6 +84,9 @@
 	limit int
 	have  document.Version
 	head  func(*fasthttp.ResponseHeader)
+	// oversized asks for one byte more than the limit, all of them 0, in place of
+	// a longer text: whoever checks it refuses it by its size.
+	oversized bool
 }
 
 // entityTag is the tag by which the platform names a version.
@@ -111,6 +114,10 @@
 	_ = conn.SetDeadline(time.Now().Add(readLimit))
 	if err := conn.Exchange(req, resp, q.limit); err != nil {
 		c.pool.Discard(conn)
+		if q.oversized && errors.Is(err, pool.ErrTooLarge) {
+			q.head(&resp.Header)
+			return make([]byte, q.limit+1), nil
+		}
 		return nil, errors.Mark(errors.Wrap(err, q.path), ErrRead)
 	}
 	c.pool.Put(conn)
