Show what an upstream says of its health

Cause: the health endpoint was asked every 2 s and the answer dropped. Change: it shows in the status as upstream_claims, and in shallotctl's table when it is bad; no decision follows from it. Conclusion: the load endpoint is not read: the node counts the load itself.

--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -91,6 +91,8 @@
 	started time.Duration
 	// wokeUntil is when the node has caught up after a pause.
 	wokeUntil time.Duration
+	// claims is what the upstream last said of its health, for Status only.
+	claims string
 	// refused counts refusals for Status.
 	refused map[refusal]uint64
 
@@ -188,6 +190,7 @@
 	case *UpstreamCrashed:
 		n.upstreamCrashed()
 	case *HealthSeen:
+		n.claims = claimsOf(ev.Healthy)
 	}
 	return n.out
 }
--- a/core/engine/refusal_test.go
+++ b/core/engine/refusal_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/status"
 )
 
 // TestEveryRefusalIsMeasured: a call that is refused on arrival counts in the
@@ -49,3 +50,15 @@
 		t.Fatalf("status %+v", d)
 	}
 }
+
+// TestHealthIsOnlyAHint: what the upstream says of itself shows in the status,
+// and calls run as before.
+func TestHealthIsOnlyAHint(t *testing.T) {
+	b := newBench(t, 10)
+	b.step(&engine.HealthSeen{Healthy: false})
+	if got := b.node.Status().Claims; got != status.ClaimsUnhealthy {
+		t.Fatalf("claims %q", got)
+	}
+	_, actions := b.call("k")
+	find[*engine.Dispatch](t, actions)
+}
--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -38,6 +38,7 @@
 		Level:   uint16(n.guard.Level()),
 		Refused: n.statusRefused(), Peers: n.statusPeers(),
 		Suspects:   n.statusSuspects(),
+		Claims:     n.claims,
 		Violations: n.statusViolations(), ViolationCount: n.checker.Count(),
 	}
 	s.PeerCount = len(n.view.All())
@@ -69,6 +70,15 @@
 	return list
 }
 
+// claimsOf names what an upstream says of its health. No decision follows from
+// it: such words lag and mislead, and the node sees the upstream's work itself.
+func claimsOf(healthy bool) string {
+	if healthy {
+		return status.ClaimsHealthy
+	}
+	return status.ClaimsUnhealthy
+}
+
 // ClassName returns the name of a class in the document in force.
 func (n *Node) ClassName(c document.Class) string {
 	if n.doc == nil {
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -27,6 +27,9 @@
 	Queued   int `json:"queued"`
 	// Level is the highest admission rank that is admitted now.
 	Level uint16 `json:"level"`
+	// Claims is what the upstream's health endpoint last said, empty if it is not
+	// asked. Nothing follows from it.
+	Claims string `json:"upstream_claims,omitempty"`
 	// Refused counts refusals since the node started.
 	Refused    []Refused   `json:"refused"`
 	Peers      []Peer      `json:"peers"`
@@ -38,6 +41,12 @@
 	ViolationCount int `json:"violation_count"`
 }
 
+// What an upstream says of itself.
+const (
+	ClaimsHealthy   = "healthy"
+	ClaimsUnhealthy = "unhealthy"
+)
+
 // Document tells which document is in force and which was refused last.
 type Document struct {
 	// Version is 0 while there is none.
--- a/ctl/internal/table/table.go
+++ b/ctl/internal/table/table.go
@@ -59,6 +59,9 @@
 	if s.Document.Refused > s.Document.Version {
 		p.line("\n%s refused document %d: %s", s.Target, s.Document.Refused, s.Document.Reason)
 	}
+	if s.Claims == status.ClaimsUnhealthy {
+		p.line("%s upstream says that it is unhealthy", s.Target)
+	}
 	for _, r := range s.Refused {
 		p.line("%s refused\t%s\t%s\t%d", s.Target, r.Class, r.Reason, r.Count)
 	}
