Read the upstream's load endpoint as a hint

Cause: the node asked for health and not for load, though both are published. Change: upstream.load_path; both show in the status as what the upstream claims, and decide nothing.

--- a/core/engine/event.go
+++ b/core/engine/event.go
@@ -154,6 +154,12 @@
 // HealthSeen is what the upstream's health endpoint said; it is a hint only.
 type HealthSeen struct{ Healthy bool }
 
+// LoadSeen is what the upstream's load endpoint said; it is a hint only.
+type LoadSeen struct {
+	// InFlight is the number of requests that the upstream says it works on.
+	InFlight int
+}
+
 // UpstreamCrashed tells that the connections to the own upstream broke all at
 // once or that its process ended.
 type UpstreamCrashed struct{}
@@ -174,6 +180,7 @@
 func (*DocumentChecked) event() {}
 func (*MembersSeen) event()     {}
 func (*HealthSeen) event()      {}
+func (*LoadSeen) event()        {}
 func (*UpstreamCrashed) event() {}
 func (*Tick) event()            {}
 func (*StopRequested) event()   {}
--- a/core/engine/node.go
+++ b/core/engine/node.go
@@ -91,8 +91,7 @@
 	started time.Duration
 	// wokeUntil is when the node has caught up after a pause.
 	wokeUntil time.Duration
-	// claims is what the upstream last said of its health, for Status only.
-	claims string
+	claims    claims
 	// refused counts refusals for Status.
 	refused map[refusal]uint64
 
@@ -190,7 +189,9 @@
 	case *UpstreamCrashed:
 		n.upstreamCrashed()
 	case *HealthSeen:
-		n.claims = claimsOf(ev.Healthy)
+		n.claims.health = claimsOf(ev.Healthy)
+	case *LoadSeen:
+		n.claims.inFlight = &ev.InFlight
 	}
 	return n.out
 }
--- a/core/engine/refusal_test.go
+++ b/core/engine/refusal_test.go
@@ -56,8 +56,10 @@
 func TestHealthIsOnlyAHint(t *testing.T) {
 	b := newBench(t, 10)
 	b.step(&engine.HealthSeen{Healthy: false})
-	if got := b.node.Status().Claims; got != status.ClaimsUnhealthy {
-		t.Fatalf("claims %q", got)
+	b.step(&engine.LoadSeen{InFlight: 1000})
+	s := b.node.Status()
+	if s.Claims != status.ClaimsUnhealthy || s.ClaimsInFlight == nil || *s.ClaimsInFlight != 1000 || s.InFlight != 0 {
+		t.Fatalf("status %+v", s)
 	}
 	_, actions := b.call("k")
 	find[*engine.Dispatch](t, actions)
--- a/core/engine/status.go
+++ b/core/engine/status.go
@@ -37,8 +37,8 @@
 		Limit: n.guard.Limit(), InFlight: n.guard.InFlight(), Queued: n.guard.Queued(),
 		Level:   uint16(n.guard.Level()),
 		Refused: n.statusRefused(), Peers: n.statusPeers(),
-		Suspects:   n.statusSuspects(),
-		Claims:     n.claims,
+		Suspects: n.statusSuspects(),
+		Claims:   n.claims.health, ClaimsInFlight: n.claims.inFlight,
 		Violations: n.statusViolations(), ViolationCount: n.checker.Count(),
 	}
 	s.PeerCount = len(n.view.All())
@@ -70,8 +70,16 @@
 	return list
 }
 
-// claimsOf names what an upstream says of its health. No decision follows from
-// it: such words lag and mislead, and the node sees the upstream's work itself.
+// claims is what the upstream last said of itself, for Status only. No decision
+// follows from it: such words lag and mislead, and the node sees the upstream's
+// work itself.
+type claims struct {
+	health string
+	// inFlight is nil until the upstream said it.
+	inFlight *int
+}
+
+// claimsOf names what an upstream says of its health.
 func claimsOf(healthy bool) string {
 	if healthy {
 		return status.ClaimsHealthy
--- a/core/status/status.go
+++ b/core/status/status.go
@@ -30,6 +30,8 @@
 	// Claims is what the upstream's health endpoint last said, empty if it is not
 	// asked. Nothing follows from it.
 	Claims string `json:"upstream_claims,omitempty"`
+	// ClaimsInFlight is what its load endpoint last said, nil if it is not asked.
+	ClaimsInFlight *int `json:"upstream_claims_in_flight,omitempty"`
 	// Refused counts refusals since the node started.
 	Refused    []Refused   `json:"refused"`
 	Peers      []Peer      `json:"peers"`
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -90,9 +90,9 @@
 	}
 	d.tasks.Go(func() { d.loop.Tick(d.ctx) })
 	d.tasks.Go(d.prune)
-	if s.UpstreamHealth != "" {
-		d.tasks.Go(func() { platform.Health(d.ctx, s.UpstreamAddress.String(), s.UpstreamHealth, d.loop.Step) })
-	}
+	d.tasks.Go(func() {
+		platform.Hints(d.ctx, s.UpstreamAddress.String(), s.UpstreamHealth, s.UpstreamLoad, d.loop.Step)
+	})
 	d.log.Info("started", logging.Field{Key: "service", Value: s.Service}, logging.Field{Key: "data_centre", Value: s.DataCentre})
 	return d, nil
 }
--- /dev/null
+++ b/node/internal/platform/hints_test.go
@@ -0,0 +1,49 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/node/internal/pool"
+)
+
+// TestHints: health and load are read whole, and a load that makes no sense is
+// passed over.
+func TestHints(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/ill" {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+		ctx.SetBody(ctx.QueryArgs().Peek("body"))
+	}}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	defer func() {
+		_ = server.Shutdown()
+		<-done
+	}()
+	p := pool.New(pool.Config{Address: listener.Addr().String(), Max: 1})
+	defer p.Close()
+	ctx := context.Background()
+	if _, ok := hint(ctx, p, "/well"); !ok {
+		t.Error("an answer of 200 does not count as healthy")
+	}
+	if _, ok := hint(ctx, p, "/ill"); ok {
+		t.Error("an answer of 503 counts as healthy")
+	}
+	if load, ok := claimedLoad(ctx, p, `/load?body={"in_flight":12}`); !ok || load.InFlight != 12 {
+		t.Errorf("load %+v, %t", load, ok)
+	}
+	for _, body := range []string{`{"in_flight":-1}`, `{"in_flight":"12"}`, `{}`, `busy`, ``} {
+		if load, ok := claimedLoad(ctx, p, "/load?body="+body); ok {
+			t.Errorf("%s counts as a load of %d", body, load.InFlight)
+		}
+	}
+}
--- a/node/internal/settings/settings.go
+++ b/node/internal/settings/settings.go
@@ -25,7 +25,9 @@
 	// UpstreamAddress is where the node's own upstream takes requests.
 	UpstreamAddress netip.AddrPort
 	// UpstreamHealth is the path of its health endpoint, empty if it has none.
-	UpstreamHealth  string
+	UpstreamHealth string
+	// UpstreamLoad is the path of its load endpoint, empty if it has none.
+	UpstreamLoad    string
 	PlatformAddress netip.AddrPort
 
 	// Calls is the number of calls the node holds at once.
@@ -86,6 +88,7 @@
 		{"listen.admin", &addressValue{&s.ListenAdmin}, false, "where operators connect, IP:port"},
 		{"upstream.address", &addressValue{&s.UpstreamAddress}, true, "where the own upstream takes requests, IP:port"},
 		{"upstream.health_path", &pathValue{&s.UpstreamHealth}, false, "the path of the upstream's health endpoint; a hint only"},
+		{"upstream.load_path", &pathValue{&s.UpstreamLoad}, false, "the path of the upstream's load endpoint; a hint only"},
 		{"platform.address", &addressValue{&s.PlatformAddress}, true, "where the platform publishes the document and the instances, IP:port"},
 		{"limits.calls", &intValue{&s.Calls, 1, maxCalls}, false, "calls held at once"},
 		{"limits.caller_connections", &intValue{&s.CallerConnections, 1, maxCallers}, false, "connections that callers hold open"},
