--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -21,7 +21,7 @@
 	doubt = 0.95
 	// shortQueue is the queueing time inside the upstream that is not worth a
 	// fall: on short runs the noise of the machine looks the same.
-	shortQueue = time.Millisecond
+	shortQueue = 4 * time.Millisecond
 	// lightShare is the share of the limit below which a run certainly met no
 	// queue inside the upstream, also when the limit is far too high, and dipShare
 	// the one it dips to, below the slots when the limit is near them.
