--- a/harness/measure/promises.go
+++ b/harness/measure/promises.go
@@ -53,7 +53,7 @@
 	s.ran[send] = true
 }
 
-func (s *watch) reply(r *engine.Request, reply engine.Reply) {
+func (s *watch) reply(_ *sim.Host, r *engine.Request, reply engine.Reply) {
 	send := string(r.Header)
 	if reply.Outcome != engine.OutcomeNotRun {
 		return
--- a/harness/sim/caller.go
+++ b/harness/sim/caller.go
@@ -106,7 +106,7 @@
 		}
 		h.Call(&engine.CallArrived{Origin: engine.OriginCaller, Request: &send}, func(reply engine.Reply) {
 			if w.OnReply != nil {
-				w.OnReply(&send, reply)
+				w.OnReply(h, &send, reply)
 			}
 			if h.incarnation == incarnation {
 				w.After(callerDelay, func() { w.settle(r, reply) })
--- a/harness/sim/world.go
+++ b/harness/sim/world.go
@@ -82,8 +82,9 @@
 	// OnRun and OnAction see what upstreams start and what nodes ask for.
 	OnRun    func(h *Host, r *engine.Request)
 	OnAction func(h *Host, a engine.Action)
-	// OnReply sees what callers of Offer are told of each of their sends.
-	OnReply func(send *engine.Request, r engine.Reply)
+	// OnReply sees what callers of Offer are told of each of their sends, by the
+	// node where it entered.
+	OnReply func(entry *Host, send *engine.Request, r engine.Reply)
 
 	setup   Setup
 	now     time.Duration
