Set measured worlds up in one place in the tests

Cause: the test of each side of a cut repeated ten lines of the test of issued keys. Change: fullWorld serves both; no check changed.

--- a/harness/measure/partition_test.go
+++ b/harness/measure/partition_test.go
@@ -1,7 +1,6 @@
 package measure
 
 import (
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -32,17 +31,7 @@
 // readsServed returns the share of answered reads of each side during the cut.
 func readsServed(t *testing.T, d deployment, seed uint64) map[string]float64 {
 	t.Helper()
-	text, err := documentText(filepath.Join("../../examples", d.document))
-	if err != nil {
-		t.Fatal(err)
-	}
-	w, err := sim.NewWorld(sim.Setup{
-		Seed: seed, Document: text, DataCentres: d.centres, Shape: d.shape,
-		Configure: func(c *engine.Config) { configure(c, engine.Full()) },
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	w := fullWorld(t, d, seed)
 	offer(w, d, normalDemand, warm, tail, 0)
 	partition(w, d, normalDemand)
 	asked, answered := map[string]float64{}, map[string]float64{}
--- a/harness/measure/promises_test.go
+++ b/harness/measure/promises_test.go
@@ -15,11 +15,9 @@
 	issued bool
 }
 
-// refusedWrites returns the share of writes without a whole answer from the
-// pressure's begin to its end.
-func refusedWrites(t *testing.T, rule keyRule, trigger func(*sim.World, deployment, float64), seed uint64) float64 {
+// fullWorld returns a world of a deployment under policy full.
+func fullWorld(t *testing.T, d deployment, seed uint64) *sim.World {
 	t.Helper()
-	d := deployments["comics"]
 	text, err := documentText(filepath.Join("../../examples", d.document))
 	if err != nil {
 		t.Fatal(err)
@@ -31,6 +29,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return w
+}
+
+// refusedWrites returns the share of writes without a whole answer from the
+// pressure's begin to its end.
+func refusedWrites(t *testing.T, rule keyRule, trigger func(*sim.World, deployment, float64), seed uint64) float64 {
+	t.Helper()
+	d := deployments["comics"]
+	w := fullWorld(t, d, seed)
 	w.Offer(sim.Load{Route: d.writes, Rate: 100, From: warm, To: tail, Issued: rule.issued})
 	trigger(w, d, normalDemand)
 	w.Run(tail + 5*time.Second)
