--- /dev/null
+++ b/core/mesh/local.go
@@ -0,0 +1,58 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/guard"
+)
+
+// kneeShare is the share of its slots that an upstream is given at most: some
+// slow down when they are nearly full.
+const kneeShare = 0.94
+
+func limitOf(slots int) int { return max(int(kneeShare*float64(slots)), 1) }
+
+// Work is a request that another node, or this one, sent to the own upstream.
+type Work struct {
+	ID       uint64
+	Route    uint32
+	Rank     Rank
+	Deadline time.Duration
+	MaxWait  time.Duration
+}
+
+// Offer decides whether the own upstream gets w now, later or not at all.
+func (n *Node) Offer(now time.Duration, w Work) guard.Decision {
+	return n.guard.Offer(now, guard.Item{
+		ID: w.ID, Priority: w.Rank.Priority, Since: since(now, w.Rank.Age),
+		Deadline: w.Deadline, Need: n.needOf(w.Route), MaxWait: w.MaxWait,
+	})
+}
+
+// needShare is the part of the mean run time that a request must have left to be
+// worth starting.
+const needShare = 0.5
+
+func (n *Node) needOf(id uint32) time.Duration {
+	return time.Duration(needShare * float64(n.runs[id]))
+}
+
+// NextWork returns the waiting request to run or refuse now; see guard.Next.
+func (n *Node) NextWork(now time.Duration) (id uint64, d guard.Decision, ok bool) {
+	return n.guard.Next(now)
+}
+
+// ExpireWork returns the waiting requests that are given up.
+func (n *Node) ExpireWork(now time.Duration) []uint64 { return n.guard.Expire(now) }
+
+// WithdrawWork removes a waiting request whose sender has gone.
+func (n *Node) WithdrawWork(id uint64) { n.guard.Withdraw(id) }
+
+// WorkDone takes the end of a request at the own upstream. took is its time
+// there; ok tells that it ended with a whole answer of success.
+func (n *Node) WorkDone(id uint64, routeID uint32, took time.Duration, ok bool) {
+	n.guard.Done(id)
+	if ok {
+		n.runs.learn(routeID, took)
+	}
+}
--- /dev/null
+++ b/core/mesh/node.go
@@ -0,0 +1,109 @@
+// Package mesh decides for one node what becomes of requests: which upstream
+// they go to, when they are tried again, refused or given up, and which of them
+// the own upstream gets. It is pure: time and seed are passed in. A Node is not
+// safe for concurrent use.
+package mesh
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/guard"
+	"github.com/shallotspool/shallotspool/core/registry"
+	"github.com/shallotspool/shallotspool/core/route"
+)
+
+// Config is what a node knows of itself.
+type Config struct {
+	// Instance is the IP of the node and of its upstream.
+	Instance    string
+	Incarnation int64
+	// Service is that of the own upstream.
+	Service    string
+	DataCentre string
+	Seed       uint64
+	Retries    RetryBounds
+}
+
+// Node is the state of one node's decisions.
+type Node struct {
+	cfg      Config
+	random   *rand.Rand
+	table    *route.Table
+	splitter *route.Splitter
+	registry *registry.Registry
+	guard    *guard.Guard
+	budget   *retryBudget
+	runs     runTimes
+	peers    map[string]*peer
+	// instances are those with a registered upstream.
+	instances map[string]struct{}
+	groups    map[string]*group
+	leaving   bool
+}
+
+// New returns a node that knows no table and no upstreams.
+func New(cfg Config) *Node {
+	return &Node{
+		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		splitter: route.NewSplitter(), registry: registry.New(), guard: guard.New(),
+		budget: newRetryBudget(cfg.Retries), runs: runTimes{},
+		peers: map[string]*peer{}, instances: map[string]struct{}{}, groups: map[string]*group{},
+	}
+}
+
+// Table returns the routing table in force, nil if there is none yet.
+func (n *Node) Table() *route.Table { return n.table }
+
+// SetTable puts a table in force unless it is not newer than the one in force.
+func (n *Node) SetTable(t *route.Table) bool {
+	if n.table != nil && t.Version <= n.table.Version {
+		return false
+	}
+	n.table = t
+	return true
+}
+
+// SetRetries changes the bounds on retries.
+func (n *Node) SetRetries(b RetryBounds) { n.budget.bounds = b }
+
+// Registry returns the known upstreams, to feed it; Registered follows a change.
+func (n *Node) Registry() *registry.Registry { return n.registry }
+
+// Registered takes in a change of the Registry.
+func (n *Node) Registered() {
+	clear(n.instances)
+	n.registry.Services(func(_ string, list []*registry.Upstream) {
+		for _, u := range list {
+			n.instances[u.Instance] = struct{}{}
+		}
+	})
+	if own := n.own(); own != nil {
+		n.guard.SetLimit(limitOf(own.Slots))
+	}
+}
+
+// own returns the registration of the own upstream, nil if there is none.
+func (n *Node) own() *registry.Upstream {
+	var newest *registry.Upstream
+	for _, u := range n.registry.Service(n.cfg.Service) {
+		if u.Instance == n.cfg.Instance && (newest == nil || u.Born > newest.Born) {
+			newest = u
+		}
+	}
+	return newest
+}
+
+// Leave tells that the node is about to stop.
+func (n *Node) Leave() { n.leaving = true }
+
+// Ready tells whether the node can serve callers.
+func (n *Node) Ready() bool { return n.table != nil && n.registry.Len() > 0 && !n.leaving }
+
+// Load returns how busy the own upstream is.
+func (n *Node) Load() Load {
+	return Load{Running: n.guard.Running(), Queued: n.guard.Queued(), Limit: n.guard.Limit()}
+}
+
+// since turns an age into a time of this node's clock.
+func since(now, age time.Duration) time.Duration { return now - age }
--- a/node/cmd/shallotd/main.go
+++ b/node/cmd/shallotd/main.go
@@ -25,6 +25,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) > 0 && args[0] == "sidecar" {
+		return runSidecar(args[1:])
+	}
 	s, err := daemon.LoadSettings(args, os.Stdout)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
--- a/node/internal/logging/logger.go
+++ b/node/internal/logging/logger.go
@@ -15,6 +15,12 @@
 // queueLines is the number of lines that may wait for the writer.
 const queueLines = 1024
 
+// The severities of lines.
+const (
+	InfoLevel = logrus.InfoLevel
+	WarnLevel = logrus.WarnLevel
+)
+
 // Field is one key=value pair.
 type Field struct{ Key, Value string }
 
--- a/node/internal/metrics/metrics.go
+++ b/node/internal/metrics/metrics.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// Ended counts a request of a route that ended with a status, for a reason of
+// the node's own or "none".
+func (m *Metrics) Ended(route, status, reason string, took time.Duration) {
+	m.counter(series{name: "shallot_requests_total", label: "route", value: route, reason: status + "/" + reason}).Inc(1)
+	m.observe(series{name: "shallot_request_seconds", label: "route", value: route}, took)
+}
+
 func (m *Metrics) observe(s series, d time.Duration) {
 	if h := m.histogram(s); h != nil {
 		h.Update(d.Microseconds())
--- a/node/internal/pool/conn.go
+++ b/node/internal/pool/conn.go
@@ -22,6 +22,8 @@
 	Writer *bufio.Writer
 	// Reused is false for the first request of a connection.
 	Reused bool
+	// Spent is true once the connection cannot carry another request.
+	Spent bool
 
 	written   atomic.Int64
 	idleSince time.Time
--- a/node/internal/pool/pool.go
+++ b/node/internal/pool/pool.go
@@ -54,8 +54,18 @@
 // Get returns an idle connection that is still good, or a new one. The error is
 // ErrFull or ErrDial.
 func (p *Pool) Get(timeout time.Duration) (*Conn, error) {
+	return p.GetFresh(timeout, idleLimit)
+}
+
+// GetFresh is Get, but closes an idle connection that was not used for maxIdle:
+// the other side may be about to close it.
+func (p *Pool) GetFresh(timeout, maxIdle time.Duration) (*Conn, error) {
 	for {
 		c, room := p.take()
+		if c != nil && time.Since(c.idleSince) >= maxIdle {
+			p.Discard(c)
+			continue
+		}
 		if c == nil && !room {
 			return nil, ErrFull
 		}
@@ -121,7 +131,7 @@
 // Put takes back a connection on which the last answer came whole. Its deadline
 // stays as it was: whoever gets it next sets another.
 func (p *Pool) Put(c *Conn) {
-	if c.Reader.Buffered() > 0 {
+	if c.Spent || c.Reader.Buffered() > 0 {
 		p.Discard(c)
 		return
 	}
--- /dev/null
+++ b/node/sidecar/stop.go
@@ -0,0 +1,43 @@
+package sidecar
+
+import (
+	"time"
+)
+
+const (
+	// stopNotice is how long a stopping node goes on taking requests, until the
+	// platform has turned callers away: two questions, a second apart.
+	stopNotice = 2500 * time.Millisecond
+	// stopReserve is the part of the grace that is kept for closing down.
+	stopReserve = 400 * time.Millisecond
+	// stopPoll is how often a stopping node looks whether all is done.
+	stopPoll = 50 * time.Millisecond
+)
+
+// Stop ends the node once the requests in flight are answered, at the latest
+// shortly before its grace is over.
+func (s *Sidecar) Stop() {
+	began := time.Now()
+	s.mu.Lock()
+	s.node.Leave()
+	s.mu.Unlock()
+	s.log.Info("stopping", field("active", s.active.Load()))
+	s.sendHeartbeats()
+	s.callers.Drain()
+	s.fromPeers.Drain()
+	last := s.settings.Load().grace() - stopReserve
+	for time.Since(began) < last {
+		if time.Since(began) >= stopNotice && s.active.Load() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	s.callers.CloseIdle()
+	s.fromPeers.CloseIdle()
+	time.Sleep(stopPoll)
+	s.callers.Close()
+	s.fromPeers.Close()
+	s.cancel()
+	s.log.Info("stopped", field("active", s.active.Load()))
+	s.log.Close()
+}
--- /dev/null
+++ b/node/sidecar/work.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/core/guard"
+	"github.com/shallotspool/shallotspool/core/mesh"
+	"github.com/shallotspool/shallotspool/node/internal/listener"
+)
+
+// servePeer takes a request that another node sent for the own upstream.
+func (s *Sidecar) servePeer(ctx context.Context, x *listener.Exchange) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	h := &x.Request.Header
+	w := &work{
+		request: &x.Request, response: &x.Response, id: string(h.Peek(s.dialect.Headers.RequestID)),
+		deadline: s.now() + s.statedWait(h),
+	}
+	if !parseRank(string(h.Peek(hopRank)), w) {
+		s.log.Warn("bad request from node", field("address", x.Remote))
+		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	h.Del(hopRank)
+	dropConnectionHeaders(h)
+	h.ResetConnectionClose()
+	o := s.run(ctx, w)
+	r := &x.Response
+	if o.Kind != mesh.Answered {
+		r.Reset()
+		r.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		r.Header.SetNoDefaultContentType(true)
+	} else {
+		dropConnectionHeaders(&r.Header)
+		r.Header.ResetConnectionClose()
+	}
+	r.Header.Set(hopResult, formatResult(o))
+	s.mu.Lock()
+	load := s.node.Load()
+	s.mu.Unlock()
+	r.Header.Set(hopLoad, formatLoad(load))
+}
+
+// run has the own upstream run w once there is room.
+func (s *Sidecar) run(ctx context.Context, w *work) mesh.Outcome {
+	id, d := s.offer(ctx, w)
+	if d != guard.Run {
+		reason := mesh.ReasonBusy
+		if ctx.Err() != nil {
+			reason = mesh.ReasonDeadline
+		}
+		s.logRefusal(w, reason)
+		return mesh.Outcome{Kind: mesh.NotRun, Reason: reason}
+	}
+	started := s.now()
+	o := s.carry(ctx, s.upstream, w, s.idleFor(w), s.ownAnswer(w))
+	if o.Kind == mesh.Answered {
+		o = s.judge(w, o)
+	}
+	s.mu.Lock()
+	now := s.now()
+	s.node.WorkDone(id, w.route, now-started, o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest)
+	s.drainWork(now)
+	s.mu.Unlock()
+	return o
+}
+
+// idleFor is how long a connection may have been idle to carry w.
+func (s *Sidecar) idleFor(w *work) time.Duration {
+	if w.once {
+		return freshIdle
+	}
+	return upstreamIdle
+}
+
+// ownAnswer tells the answer to w from late ones to other requests.
+func (s *Sidecar) ownAnswer(w *work) func(*fasthttp.ResponseHeader) bool {
+	name := s.dialect.Headers.RequestID
+	id := []byte(w.id)
+	return func(h *fasthttp.ResponseHeader) bool {
+		echoed := h.Peek(name)
+		return len(echoed) == 0 || bytes.Equal(echoed, id)
+	}
+}
+
+// judge tells an upstream's answers to what it ran from its refusals, and from
+// bytes that are not its own.
+func (s *Sidecar) judge(w *work, o mesh.Outcome) mesh.Outcome {
+	h := &w.response.Header
+	stamped := len(h.Peek(s.dialect.Headers.Stamp)) > 0
+	encoded := len(h.Peek(fasthttp.HeaderContentEncoding)) > 0
+	switch {
+	case o.Status == fasthttp.StatusMisdirectedRequest:
+		return mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonMoved}
+	case len(h.Peek(s.dialect.Headers.NotRun)) > 0:
+		return mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonShed, Reached: true}
+	case !stamped || encoded:
+		return mesh.Outcome{Kind: mesh.Unknown, Reason: mesh.ReasonLost, Reached: true}
+	}
+	return o
+}
+
+// offer waits until the own upstream has room for w, or w is refused.
+func (s *Sidecar) offer(ctx context.Context, w *work) (uint64, guard.Decision) {
+	s.mu.Lock()
+	s.nextID++
+	id := s.nextID
+	d := s.node.Offer(s.now(), mesh.Work{ID: id, Route: w.route, Rank: w.rank, Deadline: w.deadline, MaxWait: w.maxWait})
+	var told chan guard.Decision
+	if d == guard.Wait {
+		told = make(chan guard.Decision, 1)
+		s.waiting[id] = told
+	}
+	s.mu.Unlock()
+	if told == nil {
+		return id, d
+	}
+	select {
+	case d = <-told:
+		return id, d
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting[id] != nil {
+		delete(s.waiting, id)
+		s.node.WithdrawWork(id)
+		return id, guard.Refuse
+	}
+	if d = <-told; d == guard.Run {
+		s.node.WorkDone(id, w.route, 0, false)
+		s.drainWork(s.now())
+	}
+	return id, guard.Refuse
+}
+
+// drainWork starts what there is room for now; the mutex is held.
+func (s *Sidecar) drainWork(now time.Duration) {
+	for {
+		id, d, ok := s.node.NextWork(now)
+		if !ok {
+			return
+		}
+		s.tell(id, d)
+	}
+}
+
+// tell passes a decision to the request that waits for it; the mutex is held.
+func (s *Sidecar) tell(id uint64, d guard.Decision) {
+	if told := s.waiting[id]; told != nil {
+		delete(s.waiting, id)
+		told <- d
+	}
+}
