Let in at the entry what the deepest service has room for

Repeats broke the bound where stale entries answered 421, and a stop closed connections on which a request had just been read. Change: nodes tell each other by heartbeats what each route of callers occupies at their upstream; each lets in the share that fits, important routes first, and callers who come back before new ones. Calls inherit the rank of the request they are made for. Repeats follow from what a node itself sends; of several entries with one address the newest holds. A stop waits until no connection is open.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every target works on a fresh clone with Go and make installed.
-MODULES := core ctl harness node
+MODULES := core ctl harness node platform
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 SEED ?=
--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -12,6 +12,9 @@
 // answers, and the store to read.
 type Dialect struct {
 	Headers Headers
+	// ParentOf returns the id of the request for which an upstream makes the
+	// request with this id, empty if the id names none.
+	ParentOf func(id string) string
 	// ReadyPath is asked to learn whether the node takes callers.
 	ReadyPath string
 	// OpenStore returns a reader of the store at address; now is the node's
--- a/core/mesh/arrive.go
+++ b/core/mesh/arrive.go
@@ -21,7 +21,7 @@
 	if r == nil {
 		return nil, Step{Kind: StepUnknownRoute, Reason: ReasonNoRoute}
 	}
-	c := &Call{ID: a.ID, Route: r, Version: n.table.Version, Arrived: now, Deadline: now + defaultWait, Own: a.Own}
+	c := &Call{ID: a.ID, Route: r, Version: n.table.Version, Arrived: now, Deadline: now + defaultWait}
 	if a.Wait > 0 {
 		c.Deadline = now + a.Wait
 	}
@@ -29,16 +29,16 @@
 		c.Deadline = min(c.Deadline, now+r.Timeout)
 	}
 	c.Rank = Rank{Priority: r.Priority, Root: RouteID(r)}
+	n.inherit(now, c, a.Parent)
 	c.Service = n.splitter.Choose(r)
-	if !n.enters(now, c, a) {
+	c.Returned = !c.Inner && n.returns.back(now, a)
+	if !n.enters(c) {
+		n.returns.refused(now, a)
 		return c, Step{Kind: StepRefuse, Reason: ReasonEntry, RetryAfter: n.retryAfter(c)}
 	}
 	return c, n.send(now, c)
 }
 
-// enters decides whether a request is let in.
-func (n *Node) enters(time.Duration, *Call, Arrival) bool { return true }
-
 // send chooses the next target of c, or refuses it.
 func (n *Node) send(now time.Duration, c *Call) Step {
 	u, p := n.pick(now, c)
@@ -47,10 +47,12 @@
 	}
 	load, age := n.utilisation(p), now-p.heardAt
 	c.attempt = &attempt{upstream: u, peer: p, started: now}
+	if len(c.tried) == 0 {
+		n.budget.sent(now, c.Service)
+	}
 	c.tried = append(c.tried, u.Instance)
 	p.inFlight++
 	p.outlier.Started(now)
-	n.budget.first(now, c)
 	t := Target{Upstream: u.ID, Instance: u.Instance, Load: load, LoadAge: age}
 	if u.Instance == n.cfg.Instance {
 		t.Instance = ""
--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -12,32 +12,66 @@
 	Slack float64
 }
 
-// safety is the part of the bounds that nodes use: what a node counts as one
-// repeat may show as more at the services below.
-const safety = 0.5
+const (
+	// directShare is the part of the bounds that is used for repeats of requests
+	// to a service itself, and inducedShare the part for what repeats elsewhere
+	// lead to there. The rest covers counts that are some heartbeats old.
+	directShare  = 0.6
+	inducedShare = 0.2
+	// maxBudgetServices bounds the services that repeats are counted of; from the
+	// long-run number of 800 services.
+	maxBudgetServices = 2000
+)
 
-// retryBudget keeps a node within its part of the bounds. The parts add up
-// without nodes having to tell each other, so one that is cut off keeps them too.
+// retryBudget keeps a node within its part of the bounds, without nodes asking
+// each other: of the share of a service's requests its part follows from those
+// it sends itself, of the slack every node has the same part.
 type retryBudget struct {
 	bounds   RetryBounds
 	services map[string]*serviceBudget
 }
 
+// serviceBudget counts within the window what one service got because of this
+// node.
 type serviceBudget struct {
-	repeats  []time.Duration
-	requests int
-	since    time.Duration
-	last     int
+	requests, direct, induced counter
+}
+
+// counter sums up what happened within the window.
+type counter struct{ list []spending }
+
+// spending is a number of requests or repeats at about one time.
+type spending struct {
+	at   time.Duration
+	cost float64
+}
+
+// counterGrain is the span whose events are counted as one.
+const counterGrain = 100 * time.Millisecond
+
+func (c *counter) add(now time.Duration, cost float64) {
+	if last := len(c.list) - 1; last >= 0 && now-c.list[last].at < counterGrain {
+		c.list[last].cost += cost
+		return
+	}
+	c.list = append(c.list, spending{now, cost})
+}
+
+func (c *counter) sum(now, window time.Duration) float64 {
+	for len(c.list) > 0 && now-c.list[0].at >= window {
+		c.list = c.list[1:]
+	}
+	sum := 0.0
+	for _, s := range c.list {
+		sum += s.cost
+	}
+	return sum
 }
 
 func newRetryBudget(b RetryBounds) *retryBudget {
 	return &retryBudget{bounds: b, services: map[string]*serviceBudget{}}
 }
 
-// maxBudgetServices bounds the services that repeats are counted of; from the
-// long-run number of 800 services.
-const maxBudgetServices = 2000
-
 func (b *retryBudget) service(name string) *serviceBudget {
 	s := b.services[name]
 	if s == nil {
@@ -50,28 +84,63 @@
 	return s
 }
 
-// first counts a request for a service.
-func (b *retryBudget) first(now time.Duration, c *Call) {
-	if len(c.tried) > 1 {
-		return
-	}
-	s := b.service(c.Service)
-	if now-s.since >= b.bounds.Window {
-		s.last, s.requests, s.since = s.requests, 0, now
-	}
-	s.requests++
+// sent counts the first send of a request.
+func (b *retryBudget) sent(now time.Duration, service string) {
+	b.service(service).requests.add(now, 1)
+}
+
+// direct returns the repeats of requests to a service that this node may make
+// within a window.
+func (n *Node) direct(now time.Duration, service string) float64 {
+	b := n.budget.bounds
+	own := n.budget.service(service).requests.sum(now, b.Window)
+	return directShare * (b.Ratio*own + b.Slack/n.nodes())
 }
 
-// take takes one repeat from this node's part and reports whether there was any.
-func (b *retryBudget) take(now time.Duration, service string, nodes int) bool {
-	s := b.service(service)
-	for len(s.repeats) > 0 && now-s.repeats[0] >= b.bounds.Window {
-		s.repeats = s.repeats[1:]
+// induced returns the arrivals at a service that repeats elsewhere may lead to.
+func (n *Node) induced(service string) float64 {
+	b := n.budget.bounds
+	rate := 0.0
+	if v := n.entry.services[service]; v != nil {
+		rate = v.runs
 	}
-	part := safety * b.bounds.Slack / float64(max(nodes, 1))
-	if float64(len(s.repeats)+1) > part {
+	return inducedShare * (b.Ratio*rate*b.Window.Seconds() + b.Slack) / n.nodes()
+}
+
+func (n *Node) nodes() float64 { return float64(max(len(n.instances), 1)) }
+
+// takeRepeat takes what one repeat of c costs at its service and at those below,
+// and reports whether there was enough.
+func (n *Node) takeRepeat(now time.Duration, c *Call) bool {
+	window := n.budget.bounds.Window
+	if n.budget.service(c.Service).direct.sum(now, window)+1 > n.direct(now, c.Service) {
 		return false
 	}
-	s.repeats = append(s.repeats, now)
+	costs := n.inducedCosts(c)
+	for service, cost := range costs {
+		if n.budget.service(service).induced.sum(now, window)+cost > n.induced(service) {
+			return false
+		}
+	}
+	n.budget.service(c.Service).direct.add(now, 1)
+	for service, cost := range costs {
+		n.budget.service(service).induced.add(now, cost)
+	}
 	return true
 }
+
+// inducedCosts returns the arrivals that one run of c leads to at the services
+// below, as the runs of its root show.
+func (n *Node) inducedCosts(c *Call) map[string]float64 {
+	costs := map[string]float64{}
+	here := n.entry.visits[loadKey{c.Rank.Root, c.Service}]
+	if here == 0 {
+		return costs
+	}
+	for service := range n.entry.services {
+		if there := n.entry.visits[loadKey{c.Rank.Root, service}]; service != c.Service && there >= here {
+			costs[service] = there / here
+		}
+	}
+	return costs
+}
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -9,13 +9,14 @@
 
 // Arrival is a request as it reaches the node where it enters the system.
 type Arrival struct {
-	ID   string
-	Host string
-	Path string
+	ID     string
+	Method string
+	Host   string
+	Path   string
+	// Parent is the id of the request on whose behalf it may be made.
+	Parent string
 	// Wait is how long the sender still waits, 0 if it did not say.
 	Wait time.Duration
-	// Own tells that the node's own upstream sent it.
-	Own bool
 }
 
 // Call is one request at the node where it entered, from its arrival to its
@@ -33,8 +34,10 @@
 	// MaxWait bounds its time in queues of the nodes it is sent to; 0 leaves the
 	// deadline as the bound.
 	MaxWait time.Duration
-	// Own tells that the node's own upstream sent it.
-	Own bool
+	// Inner tells that the node's own upstream makes it on behalf of another
+	// request.
+	Inner bool
+
 	// Returned tells that it was refused before and came back.
 	Returned bool
 
@@ -66,6 +69,8 @@
 	Age time.Duration
 	// Root names the route of the caller's request; a hash, see RouteID.
 	Root uint32
+	// Rerun tells that a part of it ran before, so that all arrivals are repeats.
+	Rerun bool
 }
 
 // attempt is one open send of a call.
@@ -168,6 +173,7 @@
 	// Running and Queued count requests at the upstream and waiting for it;
 	// Limit is the number that may run at once.
 	Running, Queued, Limit int
+	_                      struct{} `cbor:",toarray"`
 }
 
 // StepKind is what to do with a call next.
--- /dev/null
+++ b/core/mesh/entry.go
@@ -0,0 +1,309 @@
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/registry"
+	"github.com/shallotspool/shallotspool/core/route"
+)
+
+const (
+	// planShare is the share of a service's slots that admitted requests are to
+	// fill: random arrivals queue for long above it.
+	planShare = 0.92
+	// drainTime is the time within which a backlog is to be worked off.
+	drainTime = 500 * time.Millisecond
+	// rateWeight is the weight of the newest interval in rates of requests, and
+	// loadWeight that in what one request occupies, which changes more slowly.
+	rateWeight = 0.4
+	loadWeight = 0.1
+	// leastRate is the rate of requests, per second, from which their load on a
+	// service can be told.
+	leastRate = 1.0
+	// freshBeat is how old a heartbeat may be to count in the plan.
+	freshBeat = time.Second
+	// maxRoots bounds the routes of callers that are planned for.
+	maxRoots = 512
+	// maxSaved is the number of admissions that a route with a falling share
+	// saves up, so that a short burst of few requests is not refused.
+	maxSaved = 2
+)
+
+// rootDemand is what callers at this node ask for on one route.
+type rootDemand struct {
+	priority          int
+	offered, admitted int
+	offeredRate       float64
+	admittedRate      float64
+	// share is the part of the requests that is let in, and credit the
+	// admissions that it has saved up.
+	share  float64
+	credit float64
+}
+
+// entry decides which requests of callers are let in: as many as the services
+// they lead to have room for, the most important first. What one request
+// occupies at each service is learnt from what all nodes tell.
+type entry struct {
+	roots map[uint32]*rootDemand
+	// loads is the slots that one request a second of a root occupies at each
+	// service, and visits the runs there.
+	loads  map[loadKey]float64
+	visits map[loadKey]float64
+	// services is the last view of each service.
+	services map[string]*serviceView
+	at       time.Duration
+}
+
+type loadKey struct {
+	root    uint32
+	service string
+}
+
+// serviceView sums up what the nodes of one service told.
+type serviceView struct {
+	// slots is the number of requests that its upstreams work on at once, and
+	// backlog the slots that it takes to work off the queue in drainTime.
+	slots, backlog float64
+	runs           float64
+	busy           map[uint32]float64
+	visited        map[uint32]float64
+}
+
+func newEntry() entry {
+	return entry{
+		roots: map[uint32]*rootDemand{}, loads: map[loadKey]float64{}, visits: map[loadKey]float64{},
+		services: map[string]*serviceView{},
+	}
+}
+
+// root returns the demand on a route, nil if there are too many routes.
+func (e *entry) root(id uint32, r *route.Route) *rootDemand {
+	d := e.roots[id]
+	if d == nil && len(e.roots) < maxRoots {
+		d = &rootDemand{share: 1, credit: 1}
+		e.roots[id] = d
+	}
+	if d != nil {
+		d.priority = r.Priority
+	}
+	return d
+}
+
+// enters decides whether a request is let in. Calls that upstreams make always
+// are: work was done for them already.
+func (n *Node) enters(c *Call) bool {
+	if c.Inner {
+		return true
+	}
+	d := n.entry.root(c.Rank.Root, c.Route)
+	if d == nil {
+		return true
+	}
+	d.offered++
+	d.credit = min(d.credit+d.share, maxSaved)
+	floor := 1.0
+	if c.Returned {
+		floor = -maxBorrowed
+	}
+	if d.credit < floor {
+		return false
+	}
+	d.credit--
+	d.admitted++
+	return true
+}
+
+// Plan takes in what all nodes told and sets the part of each route's requests
+// that is let in. It is called once in each HeartbeatInterval.
+func (n *Node) Plan(now time.Duration) {
+	elapsed := (now - n.entry.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	n.entry.at = now
+	for id, d := range n.entry.roots {
+		d.offeredRate += rateWeight * (float64(d.offered)/elapsed - d.offeredRate)
+		d.admittedRate += rateWeight * (float64(d.admitted)/elapsed - d.admittedRate)
+		d.offered, d.admitted = 0, 0
+		if d.offeredRate < forgetRate {
+			delete(n.entry.roots, id)
+		}
+	}
+	n.usage.close(elapsed)
+	n.entry.services = n.viewServices(now)
+	demand := n.viewDemand(now)
+	n.entry.learn(demand)
+	n.entry.share(demand)
+}
+
+// forgetRate is the rate of requests, per second, below which a route is
+// forgotten.
+const forgetRate = 0.001
+
+// viewServices sums up the fresh heartbeats by service.
+func (n *Node) viewServices(now time.Duration) map[string]*serviceView {
+	views := map[string]*serviceView{}
+	n.registry.Services(func(name string, list []*registry.Upstream) {
+		v := &serviceView{busy: map[uint32]float64{}, visited: map[uint32]float64{}}
+		for _, u := range list {
+			if b, ok := n.freshBeat(now, u.Instance); ok && b.Service == name && !u.Draining {
+				v.add(b)
+			}
+		}
+		views[name] = v
+	})
+	return views
+}
+
+// freshBeat returns the newest heartbeat of an instance, its own among them.
+func (n *Node) freshBeat(now time.Duration, instance string) (Heartbeat, bool) {
+	if instance == n.cfg.Instance {
+		return n.Heartbeat(now), true
+	}
+	p := n.peers[instance]
+	if p == nil || p.beatAt == 0 || now-p.beatAt > freshBeat || p.outlier.Ejected() {
+		return Heartbeat{}, false
+	}
+	return p.beat, true
+}
+
+func (v *serviceView) add(b Heartbeat) {
+	v.slots += float64(b.Load.Limit)
+	busy, runs := 0.0, 0.0
+	for _, s := range b.Roots {
+		v.busy[s.Root] += float64(s.Busy)
+		v.visited[s.Root] += float64(s.Runs)
+		busy += float64(s.Busy)
+		runs += float64(s.Runs)
+	}
+	v.runs += runs
+	if runs > 0 {
+		v.backlog += float64(b.Load.Queued) * busy / runs / drainTime.Seconds()
+	}
+}
+
+// fleetDemand is what callers of all nodes ask for on one route.
+type fleetDemand struct {
+	id                uint32
+	priority          int
+	offered, admitted float64
+}
+
+// viewDemand sums up the demand that all nodes told, by route, the most
+// important first.
+func (n *Node) viewDemand(now time.Duration) []fleetDemand {
+	sums := map[uint32]*fleetDemand{}
+	for instance := range n.instances {
+		b, ok := n.freshBeat(now, instance)
+		if !ok {
+			continue
+		}
+		for _, s := range b.Demand {
+			d := sums[s.Root]
+			if d == nil {
+				d = &fleetDemand{id: s.Root, priority: int(s.Priority)}
+				sums[s.Root] = d
+			}
+			d.offered += float64(s.Offered)
+			d.admitted += float64(s.Admitted)
+		}
+	}
+	list := make([]fleetDemand, 0, len(sums))
+	for _, d := range sums {
+		list = append(list, *d)
+	}
+	slices.SortFunc(list, func(a, b fleetDemand) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.id, b.id))
+	})
+	return list
+}
+
+// learn takes in what the admitted requests of each route occupy.
+func (e *entry) learn(demand []fleetDemand) {
+	if len(e.loads) > maxRoots*maxRunRoutes {
+		clear(e.loads)
+		clear(e.visits)
+	}
+	for _, d := range demand {
+		if d.admitted < leastRate {
+			continue
+		}
+		for name, v := range e.services {
+			key := loadKey{d.id, name}
+			if v.busy[d.id] == 0 && e.loads[key] == 0 {
+				continue
+			}
+			move(e.loads, key, v.busy[d.id]/d.admitted)
+			move(e.visits, key, v.visited[d.id]/d.admitted)
+		}
+	}
+}
+
+// move takes one observation into a smoothed value.
+func move(m map[loadKey]float64, key loadKey, seen float64) {
+	old, known := m[key]
+	if !known {
+		m[key] = seen
+		return
+	}
+	m[key] = old + loadWeight*(seen-old)
+}
+
+// share sets the part of each route's requests that fits into every service it
+// leads to, after the more important routes. Of equally important ones those
+// that occupy less come first: that serves the most callers.
+func (e *entry) share(demand []fleetDemand) {
+	shares := map[uint32]float64{}
+	for name, v := range e.services {
+		room := planShare*v.slots - v.backlog
+		if v.slots == 0 {
+			continue
+		}
+		list := slices.Clone(demand)
+		slices.SortStableFunc(list, func(a, b fleetDemand) int {
+			return cmp.Or(cmp.Compare(a.priority, b.priority),
+				cmp.Compare(e.loads[loadKey{a.id, name}], e.loads[loadKey{b.id, name}]))
+		})
+		for _, d := range list {
+			wanted := d.offered * e.loads[loadKey{d.id, name}]
+			if wanted == 0 {
+				continue
+			}
+			part := min(max(room/wanted, 0), 1)
+			room -= part * wanted
+			if old, known := shares[d.id]; !known || part < old {
+				shares[d.id] = part
+			}
+		}
+	}
+	for id, d := range e.roots {
+		d.share = 1
+		if part, known := shares[id]; known {
+			d.share = max(part, leastShare)
+		}
+	}
+}
+
+// leastShare lets a few requests in whatever the load, so that what they occupy
+// stays known.
+const leastShare = 0.01
+
+// stats returns the demand at this node for its heartbeat, the strongest first.
+func (e *entry) stats() []DemandStat {
+	out := make([]DemandStat, 0, len(e.roots))
+	for id, d := range e.roots {
+		out = append(out, DemandStat{
+			Root: id, Priority: int32(d.priority), Offered: float32(d.offeredRate), Admitted: float32(d.admittedRate),
+		})
+	}
+	slices.SortFunc(out, func(a, b DemandStat) int {
+		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(a.Root, b.Root))
+	})
+	return out[:min(len(out), maxToldRoots)]
+}
+
+// maxToldRoots bounds the routes in one heartbeat, so that it fits a datagram.
+const maxToldRoots = 24
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -14,6 +14,8 @@
 
 // Heartbeat is what a node tells others of itself and of its upstream.
 type Heartbeat struct {
+	_ struct{} `cbor:",toarray"`
+
 	// Incarnation tells the runs of a node apart; a later run has a higher one.
 	Incarnation int64
 	Leaving     bool
@@ -22,21 +24,36 @@
 	Service string
 	Load    Load
 	Routes  []RouteStat
+	Roots   []RootStat
 	Demand  []DemandStat
 }
 
 // RouteStat is what a node observed of one route at its own upstream.
 type RouteStat struct {
+	_     struct{} `cbor:",toarray"`
 	Route uint32
 	// Run is the mean time the upstream took for a request, its calls included.
 	Run time.Duration
 }
 
+// RootStat is what requests of callers on one route occupy at a node's own
+// upstream, with all the calls made for them.
+type RootStat struct {
+	_    struct{} `cbor:",toarray"`
+	Root uint32
+	// Busy is the slots in use, Runs the requests per second.
+	Busy float32
+	Runs float32
+}
+
 // DemandStat is what callers of one node ask for on one route.
 type DemandStat struct {
-	Route uint32
-	// PerSecond is the rate of requests, refused ones among them.
-	PerSecond float64
+	_        struct{} `cbor:",toarray"`
+	Root     uint32
+	Priority int32
+	// Offered is the requests per second, Admitted those that were let in.
+	Offered  float32
+	Admitted float32
 }
 
 // RouteID names a route in messages between nodes.
@@ -62,7 +79,7 @@
 func (n *Node) Heartbeat(time.Duration) Heartbeat {
 	b := Heartbeat{
 		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Service: n.cfg.Service, Load: n.Load(),
-		Routes: n.runs.stats(),
+		Routes: n.runs.stats(), Roots: n.usage.stats(), Demand: n.entry.stats(),
 	}
 	if n.table != nil {
 		b.Version = n.table.Version
--- a/core/mesh/local.go
+++ b/core/mesh/local.go
@@ -14,7 +14,9 @@
 
 // Work is a request that another node, or this one, sent to the own upstream.
 type Work struct {
-	ID       uint64
+	ID uint64
+	// Name is the request's id, by which the calls made for it are recognised.
+	Name     string
 	Route    uint32
 	Rank     Rank
 	Deadline time.Duration
@@ -23,6 +25,7 @@
 
 // Offer decides whether the own upstream gets w now, later or not at all.
 func (n *Node) Offer(now time.Duration, w Work) guard.Decision {
+	n.open(now, w)
 	return n.guard.Offer(now, guard.Item{
 		ID: w.ID, Priority: w.Rank.Priority, Since: since(now, w.Rank.Age),
 		Deadline: w.Deadline, Need: n.needOf(w.Route), MaxWait: w.MaxWait,
@@ -45,14 +48,20 @@
 // ExpireWork returns the waiting requests that are given up.
 func (n *Node) ExpireWork(now time.Duration) []uint64 { return n.guard.Expire(now) }
 
-// WithdrawWork removes a waiting request whose sender has gone.
-func (n *Node) WithdrawWork(id uint64) { n.guard.Withdraw(id) }
-
 // WorkDone takes the end of a request at the own upstream. took is its time
 // there; ok tells that it ended with a whole answer of success.
-func (n *Node) WorkDone(id uint64, routeID uint32, took time.Duration, ok bool) {
-	n.guard.Done(id)
+func (n *Node) WorkDone(w Work, took time.Duration, ok bool) {
+	n.guard.Done(w.ID)
+	delete(n.working, w.Name)
+	n.usage.ended(w.Rank.Root, took)
 	if ok {
-		n.runs.learn(routeID, took)
+		n.runs.learn(w.Route, took)
 	}
 }
+
+// WorkRefused takes the end of a request that the own upstream did not get.
+func (n *Node) WorkRefused(w Work) {
+	n.guard.Withdraw(w.ID)
+	n.guard.Done(w.ID)
+	delete(n.working, w.Name)
+}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -39,17 +39,25 @@
 	// instances are those with a registered upstream.
 	instances map[string]struct{}
 	groups    map[string]*group
-	leaving   bool
+	entry     entry
+	returns   returns
+	usage     usage
+	// working holds the requests that the own upstream has, by their id.
+	working map[string]lineage
+	leaving bool
 }
 
 // New returns a node that knows no table and no upstreams.
 func New(cfg Config) *Node {
-	return &Node{
+	n := &Node{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		splitter: route.NewSplitter(), registry: registry.New(), guard: guard.New(),
 		budget: newRetryBudget(cfg.Retries), runs: runTimes{},
 		peers: map[string]*peer{}, instances: map[string]struct{}{}, groups: map[string]*group{},
+		entry: newEntry(), returns: returns{until: map[uint64]time.Duration{}}, usage: usage{roots: map[uint32]*rootUsage{}}, working: map[string]lineage{},
 	}
+	n.guard.SetLimit(unknownSlots)
+	return n
 }
 
 // Table returns the routing table in force, nil if there is none yet.
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -11,7 +11,7 @@
 const (
 	// remotePenalty is what another data centre has to be better by, as a share:
 	// traffic between data centres costs time and money.
-	remotePenalty = 0.25
+	remotePenalty = 0.5
 	// queueingFrom is the utilisation from which a target counts as slower.
 	queueingFrom = 0.5
 	// queueingCost is how much slower a full target counts than an idle one.
--- a/core/mesh/result.go
+++ b/core/mesh/result.go
@@ -44,6 +44,10 @@
 	if o.Known {
 		a.peer.hear(now, o.Load)
 	}
+	if o.Reason == ReasonMoved {
+		n.registry.Moved(a.upstream.ID)
+		n.Registered()
+	}
 	g := &n.group(c.Service).outliers
 	switch {
 	case o.Reason == ReasonLeaving:
@@ -51,7 +55,7 @@
 		a.peer.outlier.Unsure()
 	case o.Kind == Answered && o.Status < serverError, o.Reason == ReasonBusy:
 		a.peer.outlier.Succeeded(now, g)
-	case o.Reason == ReasonDeadline || o.Kind == Answered:
+	case o.Reason == ReasonDeadline || o.Reason == ReasonMoved || o.Kind == Answered:
 		a.peer.outlier.Unsure()
 	default:
 		a.peer.outlier.Failed(now, g)
@@ -78,7 +82,11 @@
 	if c.reached >= c.Route.MaxAttempts || len(c.tried) >= maxSends || now >= c.Deadline {
 		return false
 	}
-	return n.budget.take(now, c.Service, len(n.instances))
+	if !n.takeRepeat(now, c) {
+		return false
+	}
+	c.Rank.Rerun = true
+	return true
 }
 
 func (n *Node) again(now time.Duration, c *Call, o Outcome) Step {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -61,6 +61,8 @@
 type Registry struct {
 	entries  map[string]*entry
 	services map[string][]*Upstream
+	// moved holds the revision of entries whose address another upstream has.
+	moved map[string]uint64
 	// revision is the newest change taken in for any key.
 	revision uint64
 	// outage is set while the store does not answer, and settledAt is when
@@ -71,7 +73,9 @@
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{entries: map[string]*entry{}, services: map[string][]*Upstream{}}
+	return &Registry{
+		entries: map[string]*entry{}, services: map[string][]*Upstream{}, moved: map[string]uint64{},
+	}
 }
 
 // Outage tells that the store does not answer.
@@ -123,6 +127,10 @@
 		delete(r.entries, c.ID)
 		return
 	}
+	if revision, moved := r.moved[c.ID]; moved && c.Revision <= revision {
+		return
+	}
+	delete(r.moved, c.ID)
 	if r.entries[c.ID] == nil && len(r.entries) >= maxUpstreams {
 		return
 	}
@@ -159,10 +167,32 @@
 	return dropped
 }
 
-// index rebuilds the lists by service, in the order of their IDs.
+// Moved takes in that another upstream answers at the address of an entry. The
+// entry counts again once it changes.
+func (r *Registry) Moved(id string) {
+	e := r.entries[id]
+	if e == nil {
+		return
+	}
+	if len(r.moved) >= maxUpstreams {
+		clear(r.moved)
+	}
+	r.moved[id] = e.Revision
+	delete(r.entries, id)
+	r.index()
+}
+
+// index rebuilds the lists by service, in the order of their IDs. Of several
+// entries with one address the newest holds.
 func (r *Registry) index() {
 	clear(r.services)
+	newest := make(map[string]*entry, len(r.entries))
 	for _, e := range r.entries {
+		if other := newest[e.Address]; other == nil || e.Revision > other.Revision {
+			newest[e.Address] = e
+		}
+	}
+	for _, e := range newest {
 		r.services[e.Service] = append(r.services[e.Service], &e.Upstream)
 	}
 	for _, list := range r.services {
--- a/node/sidecar/beat.go
+++ b/node/sidecar/beat.go
@@ -33,6 +33,7 @@
 
 func (s *Sidecar) sendHeartbeats() {
 	s.mu.Lock()
+	s.node.Plan(s.now())
 	b := s.node.Heartbeat(s.now())
 	var to []string
 	s.node.HeartbeatTargets(func(instance string) { to = append(to, instance) })
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -18,9 +18,10 @@
 	defer s.active.Add(-1)
 	h := &x.Request.Header
 	a := mesh.Arrival{
-		ID: string(h.Peek(s.dialect.Headers.RequestID)), Host: string(h.Host()), Path: string(h.RequestURI()),
-		Wait: s.statedWait(h), Own: x.Remote.String() == s.instance,
+		ID: string(h.Peek(s.dialect.Headers.RequestID)), Method: string(h.Method()), Host: string(h.Host()), Path: string(h.RequestURI()),
+		Wait: s.statedWait(h),
 	}
+	a.Parent = s.dialect.ParentOf(a.ID)
 	s.mu.Lock()
 	call, step := s.node.Arrive(s.now(), a)
 	s.mu.Unlock()
--- a/node/sidecar/events.go
+++ b/node/sidecar/events.go
@@ -46,7 +46,7 @@
 	s.log.Log(logging.InfoLevel, message, []logging.Field{
 		field("request", c.ID), field("route", c.Route.Name), field("service", c.Service), field("version", c.Version),
 		field("attempts", c.Attempts()), field("last", c.LastTried()), field("reason", step.Reason), field("status", status),
-		field("own", c.Own), field("priority", c.Rank.Priority), field("age_ms", milliseconds(c.Rank.Age)),
+		field("inner", c.Inner), field("returned", c.Returned), field("priority", c.Rank.Priority), field("age_ms", milliseconds(c.Rank.Age)),
 		field("took_ms", milliseconds(s.now()-c.Arrived)), field("left_ms", milliseconds(c.Deadline-s.now())),
 		field("retry_after_ms", milliseconds(step.RetryAfter)),
 	})
--- a/node/sidecar/hop.go
+++ b/node/sidecar/hop.go
@@ -42,6 +42,9 @@
 	b = strconv.AppendUint(b, uint64(w.route), 16)
 	b = append(b, ' ')
 	b = strconv.AppendInt(b, w.maxWait.Milliseconds(), 10)
+	if w.rank.Rerun {
+		b = append(b, " rerun"...)
+	}
 	if w.once {
 		b = append(b, " once"...)
 	}
@@ -51,6 +54,7 @@
 // parseRank is the inverse of formatRank; ok is false for anything else.
 func parseRank(text string, w *work) (ok bool) {
 	text, w.once = strings.CutSuffix(text, " once")
+	text, rerun := strings.CutSuffix(text, " rerun")
 	parts := strings.Split(text, " ")
 	if len(parts) != 5 {
 		return false
@@ -63,7 +67,7 @@
 	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || err5 != nil {
 		return false
 	}
-	w.rank = mesh.Rank{Priority: priority, Age: time.Duration(age) * time.Millisecond, Root: uint32(root)}
+	w.rank = mesh.Rank{Priority: priority, Age: time.Duration(age) * time.Millisecond, Root: uint32(root), Rerun: rerun}
 	w.route, w.maxWait = uint32(routeID), time.Duration(wait)*time.Millisecond
 	return true
 }
--- a/node/sidecar/stop.go
+++ b/node/sidecar/stop.go
@@ -26,17 +26,16 @@
 	s.callers.Drain()
 	s.fromPeers.Drain()
 	last := s.settings.Load().grace() - stopReserve
-	for time.Since(began) < last {
-		if time.Since(began) >= stopNotice && s.active.Load() == 0 {
-			break
-		}
-		time.Sleep(stopPoll)
-	}
-	s.callers.CloseIdle()
-	s.fromPeers.CloseIdle()
-	time.Sleep(stopPoll)
+	time.Sleep(min(stopNotice, last))
 	s.callers.Close()
 	s.fromPeers.Close()
+	// A connection ends with the last answer on it, so none is open once all
+	// that was read is answered.
+	for time.Since(began) < last && s.callers.Open()+s.fromPeers.Open() > 0 {
+		s.callers.CloseIdle()
+		s.fromPeers.CloseIdle()
+		time.Sleep(stopPoll)
+	}
 	s.cancel()
 	s.log.Info("stopped", field("active", s.active.Load()))
 	s.log.Close()
--- a/node/sidecar/work.go
+++ b/node/sidecar/work.go
@@ -48,7 +48,7 @@
 
 // run has the own upstream run w once there is room.
 func (s *Sidecar) run(ctx context.Context, w *work) mesh.Outcome {
-	id, d := s.offer(ctx, w)
+	job, d := s.offer(ctx, w)
 	if d != guard.Run {
 		reason := mesh.ReasonBusy
 		if ctx.Err() != nil {
@@ -64,7 +64,7 @@
 	}
 	s.mu.Lock()
 	now := s.now()
-	s.node.WorkDone(id, w.route, now-started, o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest)
+	s.node.WorkDone(job, now-started, o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest)
 	s.drainWork(now)
 	s.mu.Unlock()
 	return o
@@ -106,37 +106,37 @@
 }
 
 // offer waits until the own upstream has room for w, or w is refused.
-func (s *Sidecar) offer(ctx context.Context, w *work) (uint64, guard.Decision) {
+func (s *Sidecar) offer(ctx context.Context, w *work) (mesh.Work, guard.Decision) {
 	s.mu.Lock()
 	s.nextID++
-	id := s.nextID
-	d := s.node.Offer(s.now(), mesh.Work{ID: id, Route: w.route, Rank: w.rank, Deadline: w.deadline, MaxWait: w.maxWait})
+	job := mesh.Work{ID: s.nextID, Name: w.id, Route: w.route, Rank: w.rank, Deadline: w.deadline, MaxWait: w.maxWait}
+	d := s.node.Offer(s.now(), job)
+	if d == guard.Refuse {
+		s.node.WorkRefused(job)
+	}
 	var told chan guard.Decision
 	if d == guard.Wait {
 		told = make(chan guard.Decision, 1)
-		s.waiting[id] = told
+		s.waiting[job.ID] = told
 	}
 	s.mu.Unlock()
 	if told == nil {
-		return id, d
+		return job, d
 	}
 	select {
 	case d = <-told:
-		return id, d
+		if d == guard.Run {
+			return job, d
+		}
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.waiting[id] != nil {
-		delete(s.waiting, id)
-		s.node.WithdrawWork(id)
-		return id, guard.Refuse
-	}
-	if d = <-told; d == guard.Run {
-		s.node.WorkDone(id, w.route, 0, false)
-		s.drainWork(s.now())
-	}
-	return id, guard.Refuse
+	// The place may have become its own just now; it is given back.
+	delete(s.waiting, job.ID)
+	s.node.WorkRefused(job)
+	s.drainWork(s.now())
+	return job, guard.Refuse
 }
 
 // drainWork starts what there is room for now; the mutex is held.
