Learn what requests occupy within a second of a start, and end connections whole

Change: usage counts what runs now, first observations weigh more, a backlog is taken off within one heartbeat. The listener keeps what it needs of a request, and serves what it has read whole.

--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -88,21 +88,21 @@
 // none. It is called until ok is false after each Offer, Done, SetLimit and on
 // each tick.
 func (g *Guard) Next(now time.Duration) (id uint64, d Decision, ok bool) {
-	for g.queue.Len() > 0 {
-		best := g.queue[0]
-		hopeless := best.expired(now)
-		if !hopeless && len(g.running) >= g.limit {
-			return 0, 0, false
-		}
-		heap.Pop(&g.queue)
-		delete(g.byID, best.ID)
-		if hopeless {
-			return best.ID, Refuse, true
-		}
-		g.running[best.ID] = struct{}{}
-		return best.ID, Run, true
+	if g.queue.Len() == 0 {
+		return 0, 0, false
+	}
+	best := g.queue[0]
+	hopeless := best.expired(now)
+	if !hopeless && len(g.running) >= g.limit {
+		return 0, 0, false
+	}
+	heap.Pop(&g.queue)
+	delete(g.byID, best.ID)
+	if hopeless {
+		return best.ID, Refuse, true
 	}
-	return 0, 0, false
+	g.running[best.ID] = struct{}{}
+	return best.ID, Run, true
 }
 
 // Expire returns the waiting items that cannot be answered in time any more or
--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -133,12 +133,12 @@
 // below, as the runs of its root show.
 func (n *Node) inducedCosts(c *Call) map[string]float64 {
 	costs := map[string]float64{}
-	here := n.entry.visits[loadKey{c.Rank.Root, c.Service}]
+	here := n.entry.visits[loadKey{c.Rank.Root, c.Service}].of()
 	if here == 0 {
 		return costs
 	}
 	for service := range n.entry.services {
-		if there := n.entry.visits[loadKey{c.Rank.Root, service}]; service != c.Service && there >= here {
+		if there := n.entry.visits[loadKey{c.Rank.Root, service}].of(); service != c.Service && there >= here {
 			costs[service] = there / here
 		}
 	}
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -45,6 +45,8 @@
 	// whose upstream may have got it.
 	tried   []string
 	reached int
+	// mayHaveRun is true once an attempt may have run.
+	mayHaveRun bool
 	// refusedBy counts the nodes that had no room for it.
 	refusedBy int
 	attempt   *attempt
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -10,15 +10,19 @@
 )
 
 const (
-	// planShare is the share of a service's slots that admitted requests are to
-	// fill: random arrivals queue for long above it.
-	planShare = 0.92
-	// drainTime is the time within which a backlog is to be worked off.
-	drainTime = 500 * time.Millisecond
+	// planShare is the share of a service's places that admitted requests are to
+	// fill; what queues up beyond that is taken off again, see drainTime.
+	planShare = 1.0
+	// drainTime is the time within which a backlog is to be worked off: until the
+	// next plan, as callers do not wait much longer than that for one step.
+	drainTime = HeartbeatInterval
 	// rateWeight is the weight of the newest interval in rates of requests, and
 	// loadWeight that in what one request occupies, which changes more slowly.
 	rateWeight = 0.4
 	loadWeight = 0.1
+	// firstWeight is the weight of the first observation of a load; later ones
+	// weigh less and less.
+	firstWeight = 1.0
 	// leastRate is the rate of requests, per second, from which their load on a
 	// service can be told.
 	leastRate = 1.0
@@ -50,8 +54,8 @@
 	roots map[uint32]*rootDemand
 	// loads is the slots that one request a second of a root occupies at each
 	// service, and visits the runs there.
-	loads  map[loadKey]float64
-	visits map[loadKey]float64
+	loads  map[loadKey]*learnt
+	visits map[loadKey]*learnt
 	// services is the last view of each service.
 	services map[string]*serviceView
 	at       time.Duration
@@ -74,7 +78,7 @@
 
 func newEntry() entry {
 	return entry{
-		roots: map[uint32]*rootDemand{}, loads: map[loadKey]float64{}, visits: map[loadKey]float64{},
+		roots: map[uint32]*rootDemand{}, loads: map[loadKey]*learnt{}, visits: map[loadKey]*learnt{},
 		services: map[string]*serviceView{},
 	}
 }
@@ -132,7 +136,7 @@
 			delete(n.entry.roots, id)
 		}
 	}
-	n.usage.close(elapsed)
+	n.usage.close(now)
 	n.entry.services = n.viewServices(now)
 	demand := n.viewDemand(now)
 	n.entry.learn(demand)
@@ -233,23 +237,40 @@
 		}
 		for name, v := range e.services {
 			key := loadKey{d.id, name}
-			if v.busy[d.id] == 0 && e.loads[key] == 0 {
+			if v.busy[d.id] == 0 && e.loads[key] == nil {
 				continue
 			}
-			move(e.loads, key, v.busy[d.id]/d.admitted)
-			move(e.visits, key, v.visited[d.id]/d.admitted)
+			learn(e.loads, key, v.busy[d.id]/d.admitted)
+			learn(e.visits, key, v.visited[d.id]/d.admitted)
 		}
 	}
 }
 
-// move takes one observation into a smoothed value.
-func move(m map[loadKey]float64, key loadKey, seen float64) {
-	old, known := m[key]
-	if !known {
-		m[key] = seen
-		return
+// learnt is a smoothed value. The first observations weigh more: those made just
+// after a start see only a part of the work.
+type learnt struct {
+	value float64
+	seen  int
+}
+
+// of returns the value, 0 if nothing was observed.
+func (l *learnt) of() float64 {
+	if l == nil {
+		return 0
+	}
+	return l.value
+}
+
+// learn takes one observation in.
+func learn(m map[loadKey]*learnt, key loadKey, value float64) {
+	l := m[key]
+	if l == nil {
+		l = &learnt{}
+		m[key] = l
 	}
-	m[key] = old + loadWeight*(seen-old)
+	weight := max(loadWeight, firstWeight-loadWeight*float64(l.seen)/2)
+	l.value += weight * (value - l.value)
+	l.seen++
 }
 
 // share sets the part of each route's requests that fits into every service it
@@ -265,10 +286,10 @@
 		list := slices.Clone(demand)
 		slices.SortStableFunc(list, func(a, b fleetDemand) int {
 			return cmp.Or(cmp.Compare(a.priority, b.priority),
-				cmp.Compare(e.loads[loadKey{a.id, name}], e.loads[loadKey{b.id, name}]))
+				cmp.Compare(e.loads[loadKey{a.id, name}].of(), e.loads[loadKey{b.id, name}].of()))
 		})
 		for _, d := range list {
-			wanted := d.offered * e.loads[loadKey{d.id, name}]
+			wanted := d.offered * e.loads[loadKey{d.id, name}].of()
 			if wanted == 0 {
 				continue
 			}
--- a/core/mesh/local.go
+++ b/core/mesh/local.go
@@ -26,12 +26,19 @@
 // Offer decides whether the own upstream gets w now, later or not at all.
 func (n *Node) Offer(now time.Duration, w Work) guard.Decision {
 	n.open(now, w)
-	return n.guard.Offer(now, guard.Item{
+	d := n.guard.Offer(now, guard.Item{
 		ID: w.ID, Priority: w.Rank.Priority, Since: since(now, w.Rank.Age),
 		Deadline: w.Deadline, Need: n.needOf(w.Route), MaxWait: w.MaxWait,
 	})
+	if d == guard.Run {
+		n.WorkBegan(now, w)
+	}
+	return d
 }
 
+// WorkBegan takes in that the own upstream gets a request that waited.
+func (n *Node) WorkBegan(now time.Duration, w Work) { n.usage.began(now, w.Rank.Root) }
+
 // needShare is the part of the mean run time that a request must have left to be
 // worth starting.
 const needShare = 0.5
@@ -50,10 +57,10 @@
 
 // WorkDone takes the end of a request at the own upstream. took is its time
 // there; ok tells that it ended with a whole answer of success.
-func (n *Node) WorkDone(w Work, took time.Duration, ok bool) {
+func (n *Node) WorkDone(now time.Duration, w Work, took time.Duration, ok bool) {
 	n.guard.Done(w.ID)
 	delete(n.working, w.Name)
-	n.usage.ended(w.Rank.Root, took)
+	n.usage.ended(now, w.Rank.Root)
 	if ok {
 		n.runs.learn(w.Route, took)
 	}
--- a/core/mesh/result.go
+++ b/core/mesh/result.go
@@ -18,6 +18,7 @@
 	if o.Reached {
 		c.reached++
 	}
+	c.mayHaveRun = c.mayHaveRun || o.Kind != NotRun
 	switch {
 	case o.Kind == Answered && !n.failedAnswer(o):
 		return Step{Kind: StepDeliver}
@@ -101,7 +102,7 @@
 	switch {
 	case o.Kind == Answered:
 		return Step{Kind: StepDeliver}
-	case o.Kind == NotRun && c.reached == 0, o.Kind == NotRun && !c.Route.Idempotent:
+	case o.Kind == NotRun && !c.mayHaveRun:
 		return n.refuse(c, o.Reason)
 	}
 	return Step{Kind: StepFail, Reason: o.Reason}
--- a/core/mesh/usage.go
+++ b/core/mesh/usage.go
@@ -9,39 +9,65 @@
 // usage counts what each route of callers occupies at the own upstream.
 type usage struct {
 	roots map[uint32]*rootUsage
+	at    time.Duration
 }
 
 // rootUsage is the part of one route.
 type rootUsage struct {
-	// busy is the time of the runs that ended in this interval, and runs their
-	// number.
-	busy time.Duration
+	// running is the number of requests at the upstream, since changedAt, and
+	// busy the time that they took together in this interval.
+	running   int
+	changedAt time.Duration
+	busy      time.Duration
+	// runs is the number of requests that began in this interval.
 	runs int
 	// busyRate is the slots in use and runRate the runs per second, smoothed.
 	busyRate, runRate float64
 }
 
-// ended takes in a run that took d.
-func (u *usage) ended(root uint32, d time.Duration) {
+func (r *rootUsage) pass(now time.Duration) {
+	r.busy += time.Duration(r.running) * (now - r.changedAt)
+	r.changedAt = now
+}
+
+// began takes in a run that begins.
+func (u *usage) began(now time.Duration, root uint32) {
 	r := u.roots[root]
 	if r == nil {
 		if len(u.roots) >= maxRoots {
 			return
 		}
-		r = &rootUsage{}
+		r = &rootUsage{changedAt: now}
 		u.roots[root] = r
 	}
-	r.busy += d
+	r.pass(now)
+	r.running++
 	r.runs++
 }
 
-// close ends an interval of elapsed seconds.
-func (u *usage) close(elapsed float64) {
+// ended takes in the end of a run.
+func (u *usage) ended(now time.Duration, root uint32) {
+	r := u.roots[root]
+	if r == nil || r.running == 0 {
+		return
+	}
+	r.pass(now)
+	r.running--
+}
+
+// close ends an interval.
+func (u *usage) close(now time.Duration) {
+	elapsed := (now - u.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	u.at = now
 	for root, r := range u.roots {
+		r.pass(now)
 		r.busyRate += rateWeight * (r.busy.Seconds()/elapsed - r.busyRate)
 		r.runRate += rateWeight * (float64(r.runs)/elapsed - r.runRate)
 		r.busy, r.runs = 0, 0
-		if r.runRate < forgetRate {
+		if r.running == 0 && r.runRate < forgetRate {
 			delete(u.roots, root)
 		}
 	}
--- /dev/null
+++ b/core/route/table_test.go
@@ -0,0 +1,73 @@
+package route_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/shallotspool/shallotspool/core/route"
+)
+
+func table(routes ...*route.Route) *route.Table {
+	t := &route.Table{Version: 1, Routes: routes}
+	t.Index()
+	return t
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	short := &route.Route{Name: "short", Host: "shop.example", Prefix: "/a/"}
+	long := &route.Route{Name: "long", Host: "Shop.example", Prefix: "/a/b/"}
+	other := &route.Route{Name: "other", Host: "else.example", Prefix: "/a/b/c/"}
+	table := table(short, long, other)
+	for _, c := range []struct {
+		host, path string
+		want       *route.Route
+	}{
+		{"shop.example", "/a/x", short},
+		{"shop.example", "/a/b/c/d", long},
+		{"SHOP.example:8080", "/a/b/x?y=/z/", long},
+		{"shop.example", "/a", nil},
+		{"shop.example", "/b/a/", nil},
+		{"shop.example", "/b/?q=/a/", nil},
+		{"nobody.example", "/a/", nil},
+	} {
+		if got := table.Lookup(c.host, c.path); got != c.want {
+			t.Errorf("%s%s: got %v, want %v", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// TestSplitKeepsItsWeights: in any run of requests each service has its share to
+// within one request for each service.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &route.Route{Host: "h", Prefix: "/"}
+		total := 0
+		for i := range rapid.IntRange(1, 4).Draw(t, "services") {
+			weight := rapid.IntRange(1, 100).Draw(t, "weight")
+			r.Split = append(r.Split, route.Share{Service: string(rune('a' + i)), Weight: weight})
+			total += weight
+		}
+		s, got := route.NewSplitter(), map[string]int{}
+		n := rapid.IntRange(1, 1000).Draw(t, "requests")
+		for range n {
+			got[s.Choose(r)]++
+		}
+		for _, share := range r.Split {
+			want := float64(n*share.Weight) / float64(total)
+			if diff := float64(got[share.Service]) - want; diff > 4 || diff < -4 {
+				t.Fatalf("%d of %d to %s, want %.1f", got[share.Service], n, share.Service, want)
+			}
+		}
+	})
+}
+
+func TestServiceWithoutWeightGetsNothing(t *testing.T) {
+	r := &route.Route{Host: "h", Prefix: "/", Split: []route.Share{{Service: "a", Weight: 0}, {Service: "b", Weight: 3}}}
+	s := route.NewSplitter()
+	for range 50 {
+		if got := s.Choose(r); got != "b" {
+			t.Fatalf("chose %s", got)
+		}
+	}
+}
--- /dev/null
+++ b/harness/pattern/fanout.go
@@ -0,0 +1,39 @@
+package pattern
+
+import "time"
+
+// FanOut is a graph whose last service is the smallest, and where one request of
+// a caller leads to ten calls there: views and bookings compete for it, readings
+// for nothing. factor multiplies the usual demand, which uses 0.85 of the last
+// service.
+func FanOut(factor float64) Spec {
+	steady := func(perSecond float64) func(time.Duration) float64 {
+		return func(time.Duration) float64 { return factor * perSecond }
+	}
+	return Spec{
+		Services: []Service{
+			{Name: "view", Targets: 4, Slots: 54, Speeds: []float64{0.6, 1, 1.4}},
+			{Name: "book", Targets: 4, Slots: 54, Speeds: []float64{0.5, 1, 1, 1.5}},
+			{Name: "read", Targets: 4, Slots: 54, Speeds: []float64{0.6, 1, 1.4}},
+			{Name: "deep", Targets: 4, Slots: 19, Speeds: []float64{0.5, 1, 1, 1.5}},
+		},
+		Classes: []Class{
+			{Name: "viewing", Service: "view", Priority: 2, Idempotent: true, Work: 220 * time.Millisecond,
+				Timeout: 1200 * time.Millisecond, Goal: 2 * time.Second, Calls: []Calls{{"lookup", 2, true}}},
+			{Name: "booking", Service: "book", Priority: 0, Work: 290 * time.Millisecond,
+				Timeout: 1500 * time.Millisecond, Goal: 2 * time.Second, Calls: []Calls{{"feed", 2, true}}},
+			{Name: "reading", Service: "read", Priority: 2, Idempotent: true, Work: 550 * time.Millisecond,
+				Timeout: 3 * time.Second, Goal: 1500 * time.Millisecond},
+			{Name: "lookup", Service: "book", Priority: 1, Idempotent: true, Work: 15 * time.Millisecond,
+				Timeout: 3 * time.Second, Calls: []Calls{{"feed", 1, false}}},
+			{Name: "feed", Service: "read", Priority: 1, Idempotent: true, Work: 15 * time.Millisecond,
+				Timeout: 2500 * time.Millisecond, Calls: []Calls{{"leaf", 5, false}}},
+			{Name: "leaf", Service: "deep", Priority: 1, Idempotent: true, Work: 55 * time.Millisecond,
+				Timeout: 700 * time.Millisecond},
+		},
+		Demand: []Demand{
+			{"viewing", steady(74)}, {"booking", steady(40)}, {"reading", steady(38)},
+		},
+		Length: 30 * time.Second, Seed: 1, ReturnOnce: true,
+	}
+}
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -58,21 +58,25 @@
 	for {
 		x := &Exchange{Remote: c.remote, done: make(chan struct{})}
 		err := c.readRequest(x)
-		if c.ended() {
+		if err != nil && c.ended() {
 			return
 		}
 		if err == nil {
 			x.Arrived = time.Now()
+			x.closes, x.head = x.Request.Header.ConnectionClose(), x.Request.Header.IsHead()
 			c.begin()
 			c.queue <- x
 			c.l.cfg.Go(func() {
 				defer close(x.done)
 				c.l.cfg.Handler(c.ctx, x)
 			})
-			if x.Request.Header.ConnectionClose() {
+			if x.closes {
 				c.awaitLeaving()
 				return
 			}
+			if c.ended() {
+				return
+			}
 			continue
 		}
 		var bad *badRequest
@@ -91,7 +95,7 @@
 
 // awaitLeaving notices a caller that leaves before its last answer.
 func (c *conn) awaitLeaving() {
-	_ = c.raw.SetReadDeadline(time.Time{})
+	c.readUntil(time.Time{})
 	c.l.cfg.Go(func() {
 		if _, err := c.in.Peek(1); err != nil {
 			c.leave()
@@ -107,11 +111,11 @@
 
 func (c *conn) readRequest(x *Exchange) error {
 	limits := c.l.limits()
-	_ = c.raw.SetReadDeadline(c.idleDeadline(limits))
+	c.awaitNext(limits)
 	if _, err := c.in.Peek(1); err != nil {
 		return err
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTime))
+	c.readUntil(time.Now().Add(limits.HeaderTime))
 	h := &x.Request.Header
 	if err := h.Read(c.in); err != nil {
 		return headerError(err)
@@ -119,10 +123,7 @@
 	if limits.HeaderBytes > 0 && len(h.Header()) > limits.HeaderBytes {
 		return &badRequest{fasthttp.StatusRequestHeaderFieldsTooLarge}
 	}
-	if len(h.Peek(fasthttp.HeaderTransferEncoding)) > 0 && len(h.PeekAll(fasthttp.HeaderContentLength)) > 0 {
-		return &badRequest{fasthttp.StatusBadRequest}
-	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(bodyTime))
+	c.readUntil(time.Now().Add(bodyTime))
 	if x.Request.MayContinue() {
 		if _, err := c.raw.Write(continueLine); err != nil {
 			return err
@@ -158,14 +159,30 @@
 	return &badRequest{fasthttp.StatusBadRequest}
 }
 
-// idleDeadline bounds the wait for the next request; none while one is open.
-func (c *conn) idleDeadline(limits Limits) time.Time {
+// awaitNext bounds the wait for the next request, unless one is open.
+func (c *conn) awaitNext(limits Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open > 0 || limits.IdleTime <= 0 {
-		return time.Time{}
+	if c.open > 0 {
+		c.setReadDeadline(time.Time{})
+		return
+	}
+	c.setReadDeadline(time.Now().Add(limits.IdleTime))
+}
+
+// readUntil bounds reading.
+func (c *conn) readUntil(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReadDeadline(t)
+}
+
+// setReadDeadline sets the deadline unless the reader is to stop; the mutex is
+// held.
+func (c *conn) setReadDeadline(t time.Time) {
+	if !c.closing {
+		_ = c.raw.SetReadDeadline(t)
 	}
-	return time.Now().Add(limits.IdleTime)
 }
 
 func (c *conn) begin() {
@@ -174,23 +191,15 @@
 	c.mu.Unlock()
 }
 
-// finish counts an answered request and reports whether it was the last one
-// that is open.
-func (c *conn) finish() (last bool) {
+// finish counts an answered request.
+func (c *conn) finish() {
+	idle := c.l.limits().IdleTime
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open--
-	if c.open == 0 && !c.closing {
-		_ = c.raw.SetReadDeadline(c.idleUntil())
-	}
-	return c.open == 0
-}
-
-func (c *conn) idleUntil() time.Time {
-	if idle := c.l.limits().IdleTime; idle > 0 {
-		return time.Now().Add(idle)
+	if c.open == 0 {
+		c.setReadDeadline(time.Now().Add(idle))
 	}
-	return time.Time{}
 }
 
 // closeIfIdle ends the connection if no request is open.
@@ -238,10 +247,10 @@
 			c.finish()
 			continue
 		}
-		if x.Request.Header.ConnectionClose() || c.lastAnswer() {
+		if x.closes || c.lastAnswer() {
 			x.Response.SetConnectionClose()
 		}
-		x.Response.SkipBody = x.Request.Header.IsHead()
+		x.Response.SkipBody = x.head
 		_ = c.raw.SetWriteDeadline(time.Now().Add(writeLimit))
 		err := x.Response.Write(out)
 		if err == nil {
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -34,7 +34,10 @@
 	// Arrived is when the request had been read.
 	Arrived time.Time
 
-	done chan struct{}
+	// closes tells that the caller ends the connection after the answer, and head
+	// that the answer has no body; the handler may change the request.
+	closes, head bool
+	done         chan struct{}
 }
 
 // Handler fills in the answer. ctx ends when the caller has gone.
--- a/node/sidecar/stop.go
+++ b/node/sidecar/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/shallotspool/shallotspool/node/internal/listener"
 )
 
 const (
@@ -40,3 +42,13 @@
 	s.log.Info("stopped", field("active", s.active.Load()))
 	s.log.Close()
 }
+
+// Abort ends the node at once; requests in flight get no answer.
+func (s *Sidecar) Abort() {
+	s.cancel()
+	for _, l := range []*listener.Listener{s.callers, s.fromPeers, s.ready, s.metricsPage} {
+		l.Close()
+	}
+	_ = s.heartbeats.Close()
+	s.log.Close()
+}
--- a/node/sidecar/work.go
+++ b/node/sidecar/work.go
@@ -64,7 +64,7 @@
 	}
 	s.mu.Lock()
 	now := s.now()
-	s.node.WorkDone(job, now-started, o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest)
+	s.node.WorkDone(now, job, now-started, o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest)
 	s.drainWork(now)
 	s.mu.Unlock()
 	return o
@@ -126,6 +126,9 @@
 	select {
 	case d = <-told:
 		if d == guard.Run {
+			s.mu.Lock()
+			s.node.WorkBegan(s.now(), job)
+			s.mu.Unlock()
 			return job, d
 		}
 	case <-ctx.Done():
