Find silent connections, learn from other nodes, contain requests that crash upstreams

Cause: connections may fall silent without a reset, a node that starts while the store is away knows nothing, and a request that crashes what runs it comes again. Change: connections between nodes and to the upstream end after 0.9 s without an acknowledgement; a node that cannot reach the store asks one that knows more; crashes are told in heartbeats and condemn a request after two. Heartbeats go out less often to other data centres and as the fleet grows.

--- a/core/mesh/arrive.go
+++ b/core/mesh/arrive.go
@@ -21,7 +21,7 @@
 	if r == nil {
 		return nil, Step{Kind: StepUnknownRoute, Reason: ReasonNoRoute}
 	}
-	c := &Call{ID: a.ID, Route: r, Version: n.table.Version, Arrived: now, Deadline: now + defaultWait}
+	c := &Call{ID: a.ID, print: a.Print, Route: r, Version: n.table.Version, Arrived: now, Deadline: now + defaultWait}
 	if a.Wait > 0 {
 		c.Deadline = now + a.Wait
 	}
@@ -30,6 +30,9 @@
 	}
 	c.Rank = Rank{Priority: r.Priority, Root: RouteID(r)}
 	n.inherit(now, c, a.Parent)
+	if n.crasher(now, a.Print) {
+		return c, Step{Kind: StepFail, Reason: ReasonCrasher}
+	}
 	c.Service = n.splitter.Choose(r)
 	c.Returned = !c.Inner && n.returns.back(now, a)
 	if !n.enters(c) {
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -9,10 +9,11 @@
 
 // Arrival is a request as it reaches the node where it enters the system.
 type Arrival struct {
-	ID     string
-	Method string
-	Host   string
-	Path   string
+	ID   string
+	Host string
+	Path string
+	// Print is the same for all sends of one request: a hash of what it asks for.
+	Print uint64
 	// Parent is the id of the request on whose behalf it may be made.
 	Parent string
 	// Wait is how long the sender still waits, 0 if it did not say.
@@ -50,6 +51,7 @@
 	// refusedBy counts the nodes that had no room for it.
 	refusedBy int
 	attempt   *attempt
+	print     uint64
 }
 
 // Attempts returns the number of sends so far.
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -26,8 +26,6 @@
 	// leastRate is the rate of requests, per second, from which their load on a
 	// service can be told.
 	leastRate = 1.0
-	// freshBeat is how old a heartbeat may be to count in the plan.
-	freshBeat = time.Second
 	// maxRoots bounds the routes of callers that are planned for.
 	maxRoots = 512
 	// maxSaved is the number of admissions that a route with a falling share
@@ -168,7 +166,7 @@
 		return n.Heartbeat(now), true
 	}
 	p := n.peers[instance]
-	if p == nil || p.beatAt == 0 || now-p.beatAt > freshBeat || p.outlier.Ejected() {
+	if p == nil || p.beatAt == 0 || p.silent(now) || p.outlier.Ejected() {
 		return Heartbeat{}, false
 	}
 	return p.beat, true
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -12,20 +12,34 @@
 // within the shortest latency goal of the users' routes.
 const HeartbeatInterval = 200 * time.Millisecond
 
+const (
+	// farFactor makes heartbeats to other data centres rarer: traffic between
+	// them costs money.
+	farFactor = 2
+	// maxBeats bounds the heartbeats per second that a node sends, and so gets:
+	// at some ten microseconds each they take less than a hundredth of a core.
+	maxBeats = 400
+)
+
 // Heartbeat is what a node tells others of itself and of its upstream.
 type Heartbeat struct {
 	_ struct{} `cbor:",toarray"`
 
 	// Incarnation tells the runs of a node apart; a later run has a higher one.
 	Incarnation int64
-	Leaving     bool
+	// Interval is the time until the next heartbeat to the same instance.
+	Interval time.Duration
+	Leaving  bool
 	// Version is that of the routing table in force.
 	Version route.Version
-	Service string
-	Load    Load
-	Routes  []RouteStat
-	Roots   []RootStat
-	Demand  []DemandStat
+	// Revision is the store's, up to which the node is current.
+	Revision uint64
+	Service  string
+	Load     Load
+	Routes   []RouteStat
+	Roots    []RootStat
+	Demand   []DemandStat
+	Crashes  []CrashStat
 }
 
 // RouteStat is what a node observed of one route at its own upstream.
@@ -73,13 +87,14 @@
 	}
 	p.beat, p.beatAt = b, now
 	p.hear(now, b.Load)
+	n.hearCrashes(now, instance, b.Crashes)
 }
 
 // Heartbeat returns what this node tells others now.
 func (n *Node) Heartbeat(time.Duration) Heartbeat {
 	b := Heartbeat{
-		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Service: n.cfg.Service, Load: n.Load(),
-		Routes: n.runs.stats(), Roots: n.usage.stats(), Demand: n.entry.stats(),
+		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(), Service: n.cfg.Service, Load: n.Load(),
+		Routes: n.runs.stats(), Roots: n.usage.stats(), Demand: n.entry.stats(), Crashes: n.crashStats(),
 	}
 	if n.table != nil {
 		b.Version = n.table.Version
@@ -87,11 +102,25 @@
 	return b
 }
 
-// HeartbeatTargets calls each with the instances that heartbeats go to.
-func (n *Node) HeartbeatTargets(each func(instance string)) {
-	for instance := range n.instances {
-		if instance != n.cfg.Instance {
-			each(instance)
+// Beats calls each with the instances that get a heartbeat now, and with what
+// interval. A node whose upstream has a queue tells everyone each time: that is
+// what others must know soon.
+func (n *Node) Beats(now time.Duration, each func(instance string, interval time.Duration)) {
+	near := max(HeartbeatInterval, time.Duration(len(n.instances))*time.Second/maxBeats)
+	urgent := n.leaving || n.guard.Queued() > 0
+	for instance, dataCentre := range n.instances {
+		if instance == n.cfg.Instance {
+			continue
+		}
+		interval := near
+		if dataCentre != n.cfg.DataCentre {
+			interval *= farFactor
+		}
+		p := n.peer(instance)
+		if !urgent && now < p.beatSent+interval-HeartbeatInterval/2 {
+			continue
 		}
+		p.beatSent = now
+		each(instance, interval)
 	}
 }
--- a/core/mesh/local.go
+++ b/core/mesh/local.go
@@ -16,7 +16,9 @@
 type Work struct {
 	ID uint64
 	// Name is the request's id, by which the calls made for it are recognised.
-	Name     string
+	Name string
+	// Print is that of the Arrival.
+	Print    uint64
 	Route    uint32
 	Rank     Rank
 	Deadline time.Duration
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/guard"
+	"github.com/shallotspool/shallotspool/core/poison"
 	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/core/route"
 )
@@ -36,9 +37,10 @@
 	budget   *retryBudget
 	runs     runTimes
 	peers    map[string]*peer
-	// instances are those with a registered upstream.
-	instances map[string]struct{}
+	// instances are those with a registered upstream, with their data centres.
+	instances map[string]string
 	groups    map[string]*group
+	crashers  *poison.Table
 	entry     entry
 	returns   returns
 	usage     usage
@@ -53,8 +55,8 @@
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		splitter: route.NewSplitter(), registry: registry.New(), guard: guard.New(),
 		budget: newRetryBudget(cfg.Retries), runs: runTimes{},
-		peers: map[string]*peer{}, instances: map[string]struct{}{}, groups: map[string]*group{},
-		entry: newEntry(), returns: returns{until: map[uint64]time.Duration{}}, usage: usage{roots: map[uint32]*rootUsage{}}, working: map[string]lineage{},
+		peers: map[string]*peer{}, instances: map[string]string{}, groups: map[string]*group{},
+		crashers: poison.New(poison.Config{Remember: crashMemory, Max: maxCrashers}), entry: newEntry(), returns: returns{until: map[uint64]time.Duration{}}, usage: usage{roots: map[uint32]*rootUsage{}}, working: map[string]lineage{},
 	}
 	n.guard.SetLimit(unknownSlots)
 	return n
@@ -83,7 +85,7 @@
 	clear(n.instances)
 	n.registry.Services(func(_ string, list []*registry.Upstream) {
 		for _, u := range list {
-			n.instances[u.Instance] = struct{}{}
+			n.instances[u.Instance] = u.DataCentre
 		}
 	})
 	if own := n.own(); own != nil {
--- a/core/mesh/peer.go
+++ b/core/mesh/peer.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// silenceLimit is how long an instance that was heard may be silent before
-	// it gets no new work: five heartbeats.
-	silenceLimit = 5 * HeartbeatInterval
+	// maxMissed is the number of heartbeats that an instance may miss before it
+	// gets no new work.
+	maxMissed = 4
 	// leavingTime is how long a node that said it leaves gets no new work unless
 	// it says otherwise: the grace of a stop and a restart.
 	leavingTime = 8 * time.Second
@@ -27,6 +27,8 @@
 	load    Load
 	heardAt time.Duration
 	base    int
+	// beatSent is when this node last sent it a heartbeat.
+	beatSent time.Duration
 	// beatAt is when its last heartbeat came, 0 if none did.
 	beatAt      time.Duration
 	beat        Heartbeat
@@ -62,7 +64,7 @@
 
 // silent tells whether a peer that sent heartbeats stopped doing so.
 func (p *peer) silent(now time.Duration) bool {
-	return p.beatAt > 0 && now-p.beatAt > silenceLimit
+	return p.beatAt > 0 && now-p.beatAt > maxMissed*max(p.beat.Interval, HeartbeatInterval)
 }
 
 func (p *peer) leaving(now time.Duration) bool { return now < p.leavingTill }
--- a/core/mesh/result.go
+++ b/core/mesh/result.go
@@ -22,6 +22,8 @@
 	switch {
 	case o.Kind == Answered && !n.failedAnswer(o):
 		return Step{Kind: StepDeliver}
+	case n.crasher(now, c.print):
+		return Step{Kind: StepFail, Reason: ReasonCrasher}
 	case o.Kind == NotRun:
 		return n.afterNotRun(now, c, o)
 	case c.Route.Idempotent && n.mayRepeat(now, c):
--- a/core/mesh/returns.go
+++ b/core/mesh/returns.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -23,30 +21,20 @@
 	until map[uint64]time.Duration
 }
 
-func fingerprint(a Arrival) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(a.Method)
-	_, _ = d.WriteString(a.Host)
-	_, _ = d.WriteString(a.Path)
-	return d.Sum64()
-}
-
 // refused remembers a request that was told to come back.
 func (r *returns) refused(now time.Duration, a Arrival) {
 	if len(r.until) >= maxReturns {
 		r.forget(now)
 	}
 	if len(r.until) < maxReturns {
-		r.until[fingerprint(a)] = now + returnTime
+		r.until[a.Print] = now + returnTime
 	}
 }
 
 // back tells whether a request was refused before, and forgets it.
 func (r *returns) back(now time.Duration, a Arrival) bool {
-	print := fingerprint(a)
-	until, known := r.until[print]
-	delete(r.until, print)
+	until, known := r.until[a.Print]
+	delete(r.until, a.Print)
 	return known && now < until
 }
 
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -81,6 +81,18 @@
 // Outage tells that the store does not answer.
 func (r *Registry) Outage() { r.outage = true }
 
+// InOutage tells whether the store does not answer.
+func (r *Registry) InOutage() bool { return r.outage }
+
+// Adopt takes in a complete listing from another node, which the store answers.
+// Entries it lacks are gone.
+func (r *Registry) Adopt(now time.Duration, list []Change, revision uint64) {
+	outage, settled := r.outage, r.settledAt
+	r.outage, r.settledAt = false, 0
+	r.Replace(now, list, revision)
+	r.outage, r.settledAt = outage, settled
+}
+
 // Answering tells that the store answers again.
 func (r *Registry) Answering(now time.Duration) {
 	if r.outage {
--- a/harness/pattern/node.go
+++ b/harness/pattern/node.go
@@ -1,6 +1,7 @@
 package pattern
 
 import (
+	"hash/fnv"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/guard"
@@ -10,7 +11,9 @@
 // call takes a request where it enters and tells done how it ended. parent is
 // the id of the request it is made for, wait what the sender still waits.
 func (n *node) call(c *Class, id, path, parent string, wait time.Duration, done func(mesh.Step, bool)) {
-	a := mesh.Arrival{ID: id, Method: "GET", Host: "h", Path: "/" + c.Name + "/" + path, Parent: parent, Wait: wait}
+	print := fnv.New64a()
+	_, _ = print.Write([]byte(c.Name + path))
+	a := mesh.Arrival{ID: id, Host: "h", Path: "/" + c.Name + "/", Print: print.Sum64(), Parent: parent, Wait: wait}
 	call, step := n.mesh.Arrive(n.w.now, a)
 	n.follow(c, call, step, done)
 }
--- a/node/cmd/shallotd/sidecar.go
+++ b/node/cmd/shallotd/sidecar.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,10 @@
 	"github.com/shallotspool/shallotspool/platform"
 )
 
+// sidecarGCPercent keeps the heap close to what is in use: on the users' machines
+// memory costs more than processor time.
+const sidecarGCPercent = 50
+
 // runSidecar runs the node that stands beside an upstream of the users'
 // platform.
 func runSidecar(args []string) int {
@@ -36,6 +41,7 @@
 	if *check {
 		return exitOK
 	}
+	debug.SetGCPercent(sidecarGCPercent)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := sidecar.Start(settings, *path, platform.Dialect(), os.Stdout)
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/node/internal/sockets"
 )
 
 const (
@@ -57,6 +59,9 @@
 	Limits func() Limits
 	// MaxConnections bounds the open connections; further ones are closed.
 	MaxConnections int
+	// Silence bounds how long a connection may be silent; nil leaves that to the
+	// system.
+	Silence *sockets.Silence
 	// Go runs a goroutine.
 	Go func(func())
 }
@@ -94,6 +99,10 @@
 			_ = raw.Close()
 			continue
 		}
+		if l.cfg.Silence != nil {
+			// Without the bounds the connection works all the same.
+			_ = l.cfg.Silence.Apply(raw)
+		}
 		c := newConn(l, raw)
 		l.add(c)
 		l.cfg.Go(c.serve)
@@ -139,5 +148,15 @@
 	}
 }
 
+// Abort closes everything at once; open requests get no answer.
+func (l *Listener) Abort() {
+	l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.raw.Close()
+	}
+}
+
 // Open returns the number of open connections.
 func (l *Listener) Open() int { return int(l.open.Load()) }
--- a/node/internal/pool/pool.go
+++ b/node/internal/pool/pool.go
@@ -28,6 +28,11 @@
 	Address string
 	// Source is the own IP address to connect from, nil for any.
 	Source net.IP
+	// Silence bounds how long a connection may be silent; nil leaves that to the
+	// system.
+	Silence *sockets.Silence
+	// MaxIdle is how long an unused connection is kept; 0 means idleLimit.
+	MaxIdle time.Duration
 	// Max is the number of connections, used and idle.
 	Max int
 	// Connected is called with the time each new connection took.
@@ -54,7 +59,7 @@
 // Get returns an idle connection that is still good, or a new one. The error is
 // ErrFull or ErrDial.
 func (p *Pool) Get(timeout time.Duration) (*Conn, error) {
-	return p.GetFresh(timeout, idleLimit)
+	return p.GetFresh(timeout, p.maxIdle())
 }
 
 // GetFresh is Get, but closes an idle connection that was not used for maxIdle:
@@ -81,6 +86,24 @@
 	}
 }
 
+func (p *Pool) maxIdle() time.Duration {
+	if p.cfg.MaxIdle > 0 {
+		return p.cfg.MaxIdle
+	}
+	return idleLimit
+}
+
+// DropIdle closes the idle connections: one like them has fallen silent.
+func (p *Pool) DropIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.Discard(c)
+	}
+}
+
 // take returns an idle connection, or reserves room for a new one.
 func (p *Pool) take() (c *Conn, room bool) {
 	p.mu.Lock()
@@ -116,6 +139,9 @@
 
 func (p *Pool) dialer(timeout time.Duration) *net.Dialer {
 	d := &net.Dialer{Timeout: timeout}
+	if p.cfg.Silence != nil {
+		d = p.cfg.Silence.Dialer(timeout)
+	}
 	if p.cfg.Source != nil {
 		d.LocalAddr = &net.TCPAddr{IP: p.cfg.Source}
 	}
@@ -156,7 +182,7 @@
 func (p *Pool) Prune(now time.Time) {
 	p.mu.Lock()
 	n := 0
-	for n < len(p.idle) && now.Sub(p.idle[n].idleSince) > idleLimit {
+	for n < len(p.idle) && now.Sub(p.idle[n].idleSince) > p.maxIdle() {
 		n++
 	}
 	old := append([]*Conn(nil), p.idle[:n]...)
--- a/node/sidecar/beat.go
+++ b/node/sidecar/beat.go
@@ -33,20 +33,31 @@
 
 func (s *Sidecar) sendHeartbeats() {
 	s.mu.Lock()
-	s.node.Plan(s.now())
-	b := s.node.Heartbeat(s.now())
-	var to []string
-	s.node.HeartbeatTargets(func(instance string) { to = append(to, instance) })
+	now := s.now()
+	s.node.Plan(now)
+	b := s.node.Heartbeat(now)
+	due := map[time.Duration][]string{}
+	s.node.Beats(now, func(instance string, interval time.Duration) {
+		due[interval] = append(due[interval], instance)
+	})
 	s.mu.Unlock()
+	for interval, instances := range due {
+		b.Interval = interval
+		s.sendHeartbeat(b, instances)
+	}
+}
+
+func (s *Sidecar) sendHeartbeat(b mesh.Heartbeat, instances []string) {
 	text, err := cbor.Marshal(b)
 	if err != nil || len(text) > maxHeartbeat {
 		s.log.Warn("heartbeat not sent", field("bytes", len(text)), field("error", err))
 		return
 	}
 	port := netip.MustParseAddrPort(s.settings.Load().Listen.Heartbeats).Port()
-	for _, instance := range to {
+	for _, instance := range instances {
 		ip, err := netip.ParseAddr(instance)
 		if err != nil {
+			s.log.Info("heartbeat not sent", field("instance", instance), field("error", err))
 			continue
 		}
 		if _, err := s.heartbeats.WriteToUDPAddrPort(text, netip.AddrPortFrom(ip, port)); err != nil {
--- a/node/sidecar/carry.go
+++ b/node/sidecar/carry.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,7 @@
 
 	"github.com/shallotspool/shallotspool/core/mesh"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
+	"github.com/shallotspool/shallotspool/node/internal/sockets"
 )
 
 const (
@@ -23,6 +25,9 @@
 	answerSlack = 50 * time.Millisecond
 	// maxAnswer bounds one answer, in bytes.
 	maxAnswer = 64 << 20
+	// peerMaxIdle is how long an unused connection to another node is kept: long
+	// enough for a steady trickle of requests, and short as each one is probed.
+	peerMaxIdle = 10 * time.Second
 	// freshIdle is how long a connection may have been idle that carries a
 	// request which may not be repeated.
 	freshIdle = time.Second
@@ -31,6 +36,14 @@
 	upstreamIdle = 4 * time.Second
 )
 
+// silence bounds how long connections to nodes and upstreams may be silent. Sent
+// bytes are acknowledged within a few milliseconds, or a few hundred when packets
+// are lost; a peer that sends nothing is found before heartbeats and deadlines
+// that cover it are long over.
+var silence = sockets.Silence{
+	Unacknowledged: 900 * time.Millisecond, Idle: 2 * time.Second, Probe: 500 * time.Millisecond, Probes: 3,
+}
+
 // peerPool returns the connections to another node.
 func (s *Sidecar) peerPool(instance string) *pool.Pool {
 	s.peersMu.Lock()
@@ -40,7 +53,7 @@
 		port := netip.MustParseAddrPort(s.settings.Load().Listen.Peers).Port()
 		p = pool.New(pool.Config{
 			Address: net.JoinHostPort(instance, strconv.Itoa(int(port))), Source: net.ParseIP(s.instance),
-			Max: peerConnections,
+			Max: peerConnections, Silence: &silence, MaxIdle: peerMaxIdle,
 		})
 		s.peers[instance] = p
 	}
@@ -50,7 +63,7 @@
 // sendToPeer has another node run w.
 func (s *Sidecar) sendToPeer(ctx context.Context, w *work, instance string) mesh.Outcome {
 	w.request.Header.Set(hopRank, formatRank(w))
-	o := s.carry(ctx, s.peerPool(instance), w, peerIdle/3, func(h *fasthttp.ResponseHeader) bool {
+	o := s.carry(ctx, s.peerPool(instance), w, peerMaxIdle, func(h *fasthttp.ResponseHeader) bool {
 		return len(h.Peek(hopResult)) > 0
 	})
 	if o.Kind != mesh.Answered {
@@ -111,6 +124,8 @@
 		o = mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonUnreachable}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		o.Reason = mesh.ReasonDeadline
+	case errors.Is(err, syscall.ETIMEDOUT):
+		p.DropIdle()
 	}
 	s.log.Info("exchange failed", field("address", p.Address()), field("request", w.id),
 		field("reason", o.Reason), field("sent", sent), field("error", err))
--- /dev/null
+++ b/node/sidecar/catchup.go
@@ -0,0 +1,120 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/core/mesh"
+	"github.com/shallotspool/shallotspool/node/internal/listener"
+	"github.com/shallotspool/shallotspool/node/internal/pool"
+)
+
+const (
+	// statePath is where a node tells others what it knows from the store.
+	statePath = "/shallot/state"
+	// catchUpInterval is how often a node without the store looks for one that
+	// knows more: a few times within the second that callers wait.
+	catchUpInterval = 300 * time.Millisecond
+	// stateLimit is how long the other may take.
+	stateLimit = time.Second
+	// maxState bounds a state, in bytes: a table of a megabyte and as many
+	// upstreams as are held.
+	maxState = 8 << 20
+)
+
+// errState is a state that cannot be used.
+var errState = errors.New("unusable state")
+
+// catchUp asks other nodes for what the store does not tell, until the node
+// stops.
+func (s *Sidecar) catchUp() {
+	ticker := time.NewTicker(catchUpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		instance, behind := s.node.AskPeer(s.now())
+		s.mu.Unlock()
+		if behind {
+			s.catchUpFrom(instance)
+		}
+	}
+}
+
+func (s *Sidecar) catchUpFrom(instance string) {
+	state, err := s.fetchState(instance)
+	if err != nil {
+		s.log.Info("state not fetched", field("instance", instance), field("error", err))
+		return
+	}
+	s.mu.Lock()
+	newer := s.node.CatchUp(s.now(), state)
+	s.mu.Unlock()
+	if newer {
+		version := uint64(0)
+		if state.Table != nil {
+			version = uint64(state.Table.Version)
+		}
+		s.log.Info("state taken from node", field("instance", instance), field("version", version),
+			field("upstreams", len(state.Upstreams)), field("revision", state.Revision))
+	}
+}
+
+func (s *Sidecar) fetchState(instance string) (state mesh.State, err error) {
+	p := s.peerPool(instance)
+	conn, err := p.Get(dialLimit)
+	if err != nil {
+		return state, err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetHost(p.Address())
+	req.Header.SetRequestURI(statePath)
+	_ = conn.SetDeadline(time.Now().Add(stateLimit))
+	if err := conn.ExchangeOn(req, resp, pool.Terms{MaxBody: maxState}); err != nil {
+		p.Discard(conn)
+		return state, err
+	}
+	p.Put(conn)
+	if resp.StatusCode() != http.StatusOK {
+		return state, errors.Mark(errors.Newf("status %d", resp.StatusCode()), errState)
+	}
+	if err := cbor.Unmarshal(resp.Body(), &state); err != nil {
+		return state, errors.Mark(errors.Wrap(err, "read state"), errState)
+	}
+	if state.Table != nil {
+		state.Table.Index()
+	}
+	return state, nil
+}
+
+// isStateRequest tells a node's question for the state from a request to run.
+func isStateRequest(x *listener.Exchange) bool {
+	h := &x.Request.Header
+	return len(h.Peek(hopRank)) == 0 && bytes.Equal(h.RequestURI(), []byte(statePath))
+}
+
+// serveState tells another node what this one knows from the store.
+func (s *Sidecar) serveState(_ context.Context, x *listener.Exchange) {
+	s.mu.Lock()
+	state := s.node.Snapshot()
+	s.mu.Unlock()
+	text, err := cbor.Marshal(state)
+	if err != nil {
+		s.log.Warn("state not told", field("error", err))
+		x.Response.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	x.Response.SetBodyRaw(text)
+}
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/mesh"
@@ -18,8 +19,8 @@
 	defer s.active.Add(-1)
 	h := &x.Request.Header
 	a := mesh.Arrival{
-		ID: string(h.Peek(s.dialect.Headers.RequestID)), Method: string(h.Method()), Host: string(h.Host()), Path: string(h.RequestURI()),
-		Wait: s.statedWait(h),
+		ID: string(h.Peek(s.dialect.Headers.RequestID)), Host: string(h.Host()), Path: string(h.RequestURI()),
+		Wait: s.statedWait(h), Print: printOf(&x.Request),
 	}
 	a.Parent = s.dialect.ParentOf(a.ID)
 	s.mu.Lock()
@@ -41,6 +42,19 @@
 	s.answer(x, call, step)
 }
 
+// printOf hashes what a request asks for; it is the same for all its sends.
+func printOf(r *fasthttp.Request) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [][]byte{r.Header.Method(), r.Header.Host(), r.Header.RequestURI(), r.Body()} {
+		_, _ = d.Write(part)
+		_, _ = d.Write(printSeparator)
+	}
+	return d.Sum64()
+}
+
+var printSeparator = []byte{0}
+
 // statedWait reads how long the sender waits, 0 if it does not say.
 func (s *Sidecar) statedWait(h *fasthttp.RequestHeader) time.Duration {
 	ms, err := strconv.ParseInt(string(h.Peek(s.dialect.Headers.Deadline)), 10, 64)
--- a/node/sidecar/path_test.go
+++ b/node/sidecar/path_test.go
@@ -193,3 +193,25 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+// TestNodeLearnsFromOthers: a node that starts while it cannot reach the store
+// gets table and upstreams from the nodes that know it.
+func TestNodeLearnsFromOthers(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep, "deep/"+deep2)
+	f.sidecars[front].Abort()
+	working := f.store
+	f.store = newFakeStore()
+	f.store.down = true
+	f.start("front", front)
+	f.eventually("ready without the store", func() bool { return f.ready(front) })
+	if got := f.caller(front).ask("POST", "/write/1", "r1"); got.status != 200 {
+		t.Fatalf("%+v\n%s", got, f.logs)
+	}
+	// What the others hear of reaches it too.
+	f.store = working
+	f.register("deep", deep, true)
+	f.eventually("draining known", func() bool {
+		return f.caller(front).ask("GET", "/read/1", "r2").body == "from "+deep2 &&
+			strings.Contains(f.logs.String(), "revision=5")
+	})
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -91,6 +91,7 @@
 	sc.store = d.OpenStore(s.Store.Address, sc.now)
 	sc.upstream = pool.New(pool.Config{
 		Address: s.Upstream.Address, Max: s.Limits.Descriptors, Connected: sc.metrics.Connected,
+		Silence: &silence,
 	})
 	if err := sc.listen(s); err != nil {
 		sc.cancel()
@@ -101,6 +102,7 @@
 	sc.tasks.Go(sc.beat)
 	sc.tasks.Go(sc.hear)
 	sc.tasks.Go(sc.prune)
+	sc.tasks.Go(sc.catchUp)
 	sc.tasks.Go(sc.watchSettings)
 	sc.log.Info("started", field("service", s.Service), field("data_centre", s.DataCentre),
 		field("instance", sc.instance), field("incarnation", incarnation))
@@ -133,13 +135,11 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		limits := s.callerLimits
+		cfg := listener.Config{Handler: l.handler, Limits: s.callerLimits, MaxConnections: connections, Go: s.tasks.Go}
 		if l.into == &s.fromPeers {
-			limits = s.peerLimits
+			cfg.Limits, cfg.Silence = s.peerLimits, &silence
 		}
-		*l.into = listener.New(listener.Config{
-			Handler: l.handler, Limits: limits, MaxConnections: connections, Go: s.tasks.Go,
-		})
+		*l.into = listener.New(cfg)
 		s.tasks.Go(func() {
 			if err := (*l.into).Serve(ln); err != nil {
 				s.fail(err)
--- a/node/sidecar/stop.go
+++ b/node/sidecar/stop.go
@@ -47,7 +47,7 @@
 func (s *Sidecar) Abort() {
 	s.cancel()
 	for _, l := range []*listener.Listener{s.callers, s.fromPeers, s.ready, s.metricsPage} {
-		l.Close()
+		l.Abort()
 	}
 	_ = s.heartbeats.Close()
 	s.log.Close()
--- a/node/sidecar/watch.go
+++ b/node/sidecar/watch.go
@@ -24,6 +24,10 @@
 
 // readStore keeps the table and the registry current until the node stops.
 func (s *Sidecar) readStore() {
+	// What a node knows before its first read is nothing, as in an outage.
+	s.mu.Lock()
+	s.node.Registry().Outage()
+	s.mu.Unlock()
 	listed, answering, backoff := false, true, firstBackoff
 	var revision uint64
 	for s.ctx.Err() == nil {
--- a/node/sidecar/work.go
+++ b/node/sidecar/work.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/guard"
@@ -14,6 +16,10 @@
 
 // servePeer takes a request that another node sent for the own upstream.
 func (s *Sidecar) servePeer(ctx context.Context, x *listener.Exchange) {
+	if isStateRequest(x) {
+		s.serveState(ctx, x)
+		return
+	}
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	h := &x.Request.Header
@@ -62,14 +68,28 @@
 	if o.Kind == mesh.Answered {
 		o = s.judge(w, o)
 	}
+	crashed := o.Kind == mesh.Unknown && o.Reason == mesh.ReasonLost && ctx.Err() == nil && s.upstreamGone()
 	s.mu.Lock()
 	now := s.now()
+	if crashed {
+		s.node.WorkCrashed(now, job)
+	}
 	s.node.WorkDone(now, job, now-started, o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest)
 	s.drainWork(now)
 	s.mu.Unlock()
 	return o
 }
 
+// upstreamGone looks whether the own upstream still takes connections.
+func (s *Sidecar) upstreamGone() bool {
+	conn, err := s.upstream.GetFresh(dialLimit, freshIdle)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	s.upstream.Put(conn)
+	return false
+}
+
 // idleFor is how long a connection may have been idle to carry w.
 func (s *Sidecar) idleFor(w *work) time.Duration {
 	if w.once {
@@ -109,7 +129,7 @@
 func (s *Sidecar) offer(ctx context.Context, w *work) (mesh.Work, guard.Decision) {
 	s.mu.Lock()
 	s.nextID++
-	job := mesh.Work{ID: s.nextID, Name: w.id, Route: w.route, Rank: w.rank, Deadline: w.deadline, MaxWait: w.maxWait}
+	job := mesh.Work{ID: s.nextID, Name: w.id, Print: printOf(w.request), Route: w.route, Rank: w.rank, Deadline: w.deadline, MaxWait: w.maxWait}
 	d := s.node.Offer(s.now(), job)
 	if d == guard.Refuse {
 		s.node.WorkRefused(job)
