Tell nodes whose upstream is not registered what the others know

Change: heartbeats go to, and demand counts from, every instance heard of late. A backlog is worked off within one run time where that is longer than a heartbeat. A line on the shares at the entry once a second while any is below 1. Test: core/mesh TestUnregisteredNodeIsNotLeftOut.

--- a/core/mesh/crash_test.go
+++ b/core/mesh/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/shallotspool/shallotspool/core/registry"
 )
 
 // tell has every node hear the heartbeats of the others.
@@ -86,3 +88,35 @@
 		t.Fatalf("sent to %v", got)
 	}
 }
+
+// TestUnregisteredNodeIsNotLeftOut: a node whose upstream is not registered any
+// more, as after a cut from the store, hears the others and its demand counts.
+func TestUnregisteredNodeIsNotLeftOut(t *testing.T) {
+	nodes := newFleet(t, testRoute("b", true))
+	lone, other := nodes[0], nodes[2]
+	for _, n := range nodes {
+		n.Registry().Apply(0, []registry.Change{{ID: "i-10.0.0.1", Revision: 10, Removed: true}})
+		n.Registered()
+	}
+	now := time.Second
+	for i := range 200 {
+		now += 5 * time.Millisecond
+		lone.Arrive(now, Arrival{ID: "r", Host: "h", Path: "/b/1"})
+		if i%40 != 0 {
+			continue
+		}
+		beat := lone.Heartbeat(now)
+		other.Hear(now, lone.cfg.Instance, beat)
+		other.Plan(now)
+		lone.Plan(now)
+	}
+	told := map[string]bool{}
+	other.Beats(now, func(instance string, _ time.Duration) { told[instance] = true })
+	if !told[lone.cfg.Instance] {
+		t.Errorf("no heartbeat to the node without upstream")
+	}
+	demand := other.viewDemand(now)
+	if len(demand) != 1 || demand[0].offered < 50 {
+		t.Errorf("demand %+v", demand)
+	}
+}
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -14,7 +14,8 @@
 	// fill; what queues up beyond that is taken off again, see drainTime.
 	planShare = 1.0
 	// drainTime is the time within which a backlog is to be worked off: until the
-	// next plan, as callers do not wait much longer than that for one step.
+	// next plan, as callers do not wait much longer than that for one step. Where
+	// a request runs for longer, that is the time.
 	drainTime = HeartbeatInterval
 	// rateWeight is the weight of the newest interval in rates of requests, and
 	// loadWeight that in what one request occupies, which changes more slowly.
@@ -183,7 +184,8 @@
 	}
 	v.runs += runs
 	if runs > 0 {
-		v.backlog += float64(b.Load.Queued) * busy / runs / drainTime.Seconds()
+		mean := busy / runs
+		v.backlog += float64(b.Load.Queued) * mean / max(drainTime.Seconds(), mean)
 	}
 }
 
@@ -198,7 +200,7 @@
 // important first.
 func (n *Node) viewDemand(now time.Duration) []fleetDemand {
 	sums := map[uint32]*fleetDemand{}
-	for instance := range n.instances {
+	for _, instance := range n.fleet(now) {
 		b, ok := n.freshBeat(now, instance)
 		if !ok {
 			continue
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,12 +109,12 @@
 func (n *Node) Beats(now time.Duration, each func(instance string, interval time.Duration)) {
 	near := max(HeartbeatInterval, time.Duration(len(n.instances))*time.Second/maxBeats)
 	urgent := n.leaving || n.guard.Queued() > 0
-	for instance, dataCentre := range n.instances {
+	for _, instance := range n.fleet(now) {
 		if instance == n.cfg.Instance {
 			continue
 		}
 		interval := near
-		if dataCentre != n.cfg.DataCentre {
+		if n.instances[instance] != n.cfg.DataCentre {
 			interval *= farFactor
 		}
 		p := n.peer(instance)
@@ -124,3 +125,23 @@
 		each(instance, interval)
 	}
 }
+
+// fleet returns all instances with a node, in order: those with a registered
+// upstream and those heard of late. A node whose upstream is not registered goes
+// on sending requests, so it has to know what others know.
+func (n *Node) fleet(now time.Duration) []string {
+	list := make([]string, 0, len(n.instances)+1)
+	for instance := range n.instances {
+		list = append(list, instance)
+	}
+	for instance, p := range n.peers {
+		if _, registered := n.instances[instance]; !registered && p.beatAt > 0 && !p.silent(now) {
+			list = append(list, instance)
+		}
+	}
+	if _, registered := n.instances[n.cfg.Instance]; !registered {
+		list = append(list, n.cfg.Instance)
+	}
+	slices.Sort(list)
+	return list
+}
--- a/node/sidecar/beat.go
+++ b/node/sidecar/beat.go
@@ -11,6 +11,9 @@
 	"github.com/shallotspool/shallotspool/core/mesh"
 )
 
+// planLogBeats is the number of heartbeats between two lines on the plan.
+const planLogBeats = 5
+
 // maxHeartbeat bounds one heartbeat, in bytes; a larger one is not sent.
 const maxHeartbeat = 1400
 
@@ -20,7 +23,7 @@
 func (s *Sidecar) beat() {
 	ticker := time.NewTicker(mesh.HeartbeatInterval)
 	defer ticker.Stop()
-	for {
+	for beats := 0; ; beats++ {
 		select {
 		case <-s.ctx.Done():
 			_ = s.heartbeats.Close()
@@ -28,6 +31,9 @@
 		case <-ticker.C:
 			s.sendHeartbeats()
 		}
+		if beats%planLogBeats == 0 {
+			s.logPlan()
+		}
 	}
 }
 
--- a/node/sidecar/events.go
+++ b/node/sidecar/events.go
@@ -69,3 +69,21 @@
 	}
 	s.metrics.Ended(c.Route.Name, strconv.Itoa(status), step.Reason.String(), took)
 }
+
+// logPlan writes what the shares at the entry follow from, while any is below 1.
+func (s *Sidecar) logPlan() {
+	s.mu.Lock()
+	services, shares := s.node.Report()
+	var fields []logging.Field
+	for _, share := range shares {
+		fields = append(fields, field("share_"+s.node.RouteName(share.Route), fmt.Sprintf("%.2f", share.Share)))
+	}
+	s.mu.Unlock()
+	if len(shares) == 0 {
+		return
+	}
+	for _, v := range services {
+		fields = append(fields, field("service_"+v.Service, fmt.Sprintf("slots:%.0f,busy:%.1f,backlog:%.1f", v.Slots, v.Busy, v.Backlog)))
+	}
+	s.log.Log(logging.InfoLevel, "entry shares", fields)
+}
