Solve the shares at the entry over all services together

Change: routes take room in the order of their importance, each only for the part that fits everywhere.

--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -277,28 +277,16 @@
 // leads to, after the more important routes. Of equally important ones those
 // that occupy less come first: that serves the most callers.
 func (e *entry) share(demand []fleetDemand) {
-	shares := map[uint32]float64{}
+	rooms := map[string]float64{}
 	for name, v := range e.services {
-		room := planShare*v.slots - v.backlog
-		if v.slots == 0 {
-			continue
-		}
-		list := slices.Clone(demand)
-		slices.SortStableFunc(list, func(a, b fleetDemand) int {
-			return cmp.Or(cmp.Compare(a.priority, b.priority),
-				cmp.Compare(e.loads[loadKey{a.id, name}].of(), e.loads[loadKey{b.id, name}].of()))
-		})
-		for _, d := range list {
-			wanted := d.offered * e.loads[loadKey{d.id, name}].of()
-			if wanted == 0 {
-				continue
-			}
-			part := min(max(room/wanted, 0), 1)
-			room -= part * wanted
-			if old, known := shares[d.id]; !known || part < old {
-				shares[d.id] = part
-			}
-		}
+		rooms[name] = planShare*v.slots - v.backlog
+	}
+	slices.SortStableFunc(demand, func(a, b fleetDemand) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(e.footprint(a.id), e.footprint(b.id)))
+	})
+	shares := map[uint32]float64{}
+	for _, d := range demand {
+		shares[d.id] = e.fit(d, rooms)
 	}
 	for id, d := range e.roots {
 		d.share = 1
@@ -308,6 +296,34 @@
 	}
 }
 
+// fit returns the part of d that there is room for and takes that room. A
+// service that nobody was heard of bounds nothing.
+func (e *entry) fit(d fleetDemand, rooms map[string]float64) float64 {
+	part := 1.0
+	for name, v := range e.services {
+		wanted := d.offered * e.loads[loadKey{d.id, name}].of()
+		if v.slots > 0 && wanted > 0 {
+			part = min(part, max(rooms[name]/wanted, 0))
+		}
+	}
+	for name := range e.services {
+		rooms[name] -= part * d.offered * e.loads[loadKey{d.id, name}].of()
+	}
+	return part
+}
+
+// footprint is the largest part of any service that one request a second of a
+// route occupies.
+func (e *entry) footprint(root uint32) float64 {
+	most := 0.0
+	for name, v := range e.services {
+		if v.slots > 0 {
+			most = max(most, e.loads[loadKey{root, name}].of()/v.slots)
+		}
+	}
+	return most
+}
+
 // leastShare lets a few requests in whatever the load, so that what they occupy
 // stays known.
 const leastShare = 0.01
