Bound heartbeats and store reads of a fleet of a hundred nodes

Change: at most 200 heartbeats a second a node, everyone is told at once only from a queue of a quarter of the places on; changes of the store gather for 150 ms.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -19,7 +19,10 @@
 	farFactor = 2
 	// maxBeats bounds the heartbeats per second that a node sends, and so gets:
 	// at some ten microseconds each they take less than a hundredth of a core.
-	maxBeats = 400
+	maxBeats = 200
+	// urgentQueue is the queue, as a share of the places, from which a node tells
+	// everyone each time.
+	urgentQueue = 0.25
 )
 
 // Heartbeat is what a node tells others of itself and of its upstream.
@@ -104,11 +107,11 @@
 }
 
 // Beats calls each with the instances that get a heartbeat now, and with what
-// interval. A node whose upstream has a queue tells everyone each time: that is
-// what others must know soon.
+// interval. A node whose upstream has a long queue tells everyone each time: that
+// is what others must know soon.
 func (n *Node) Beats(now time.Duration, each func(instance string, interval time.Duration)) {
 	near := max(HeartbeatInterval, time.Duration(len(n.instances))*time.Second/maxBeats)
-	urgent := n.leaving || n.guard.Queued() > 0
+	urgent := n.leaving || float64(n.guard.Queued()) > urgentQueue*float64(n.guard.Limit())
 	for _, instance := range n.fleet(now) {
 		if instance == n.cfg.Instance {
 			continue
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -129,6 +130,8 @@
 	sidecars  map[string]*sidecar.Sidecar
 	upstreams map[string]*upstream
 	logs      *syncBuffer
+	// out gets the log lines of nodes started from now on; nil means logs.
+	out io.Writer
 }
 
 // syncBuffer collects the log lines of all nodes.
@@ -234,7 +237,11 @@
 			GraceSeconds: 6, DrainMS: 2000, RetryRatio: 0.2, RetrySlack: 49, RetryWindowSeconds: 10,
 		},
 	}
-	sc, err := sidecar.Start(s, "", testDialect(f.store), f.logs)
+	out := f.out
+	if out == nil {
+		out = f.logs
+	}
+	sc, err := sidecar.Start(s, "", testDialect(f.store), out)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/node/sidecar/watch.go
+++ b/node/sidecar/watch.go
@@ -17,6 +17,9 @@
 	// they stay below the three seconds in which a node has to notice.
 	watchWait  = 2 * time.Second
 	watchSlack = 800 * time.Millisecond
+	// gatherTime is the pause after changes, in which further ones gather: reads
+	// are priced, and the shortest bound on acting on a change is two seconds.
+	gatherTime = 150 * time.Millisecond
 	// firstBackoff and maxBackoff bound the wait after a failed read.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
@@ -40,6 +43,9 @@
 		}
 		if err == nil {
 			s.takeChanges(changes, !listed, !answering)
+			if listed && changes.Revision > revision {
+				s.pause(gatherTime)
+			}
 			listed, answering, backoff, revision = true, true, firstBackoff, changes.Revision
 			continue
 		}
