--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -172,6 +172,8 @@
 		service, ip, _ := strings.Cut(text, "/")
 		f.register(service, ip, false)
 	}
+	known := len(instances) * len(instances)
+	f.eventually("all know all", func() bool { return strings.Count(f.logs.String(), "upstream registered") == known })
 	for ip := range f.sidecars {
 		f.eventually("ready", func() bool { return f.ready(ip) })
 	}
