--- a/ctl/internal/command/root.go
+++ b/ctl/internal/command/root.go
@@ -67,7 +67,7 @@
 		Name: "shallotctl", ShortUsage: "shallotctl <subcommand> [flags] [arguments]",
 		LongHelp: longHelp, FlagSet: flags, Options: options(),
 		Subcommands: []*ffcli.Command{
-			a.check(), a.explain(), a.diff(), a.status(), a.watch(), a.report(),
+			a.check(), a.explain(), a.diff(), a.status(), a.watch(), a.report(), a.trace(),
 		},
 		Exec: func(context.Context, []string) error {
 			if *version {
