Remove settings and fields that nothing uses, and bound the heap

The wait of requests in a queue was never bounded by anything but their deadline, and a sidecar has no use for the drain time. The memory that an instance has now makes the collector work harder before it is reached.

--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -21,11 +21,8 @@
 	// to run.
 	Deadline time.Duration
 	Need     time.Duration
-	// MaxWait bounds its time in the queue; 0 bounds it by the deadline only.
-	MaxWait time.Duration
 
-	queued time.Duration
-	index  int
+	index int
 }
 
 // Decision is what becomes of an offered item.
@@ -78,7 +75,6 @@
 	if g.queue.Len() >= maxQueue {
 		return Refuse
 	}
-	item.queued = now
 	g.byID[item.ID] = &item
 	heap.Push(&g.queue, &item)
 	return Wait
@@ -105,8 +101,8 @@
 	return best.ID, Run, true
 }
 
-// Expire returns the waiting items that cannot be answered in time any more or
-// that waited for too long, and forgets them.
+// Expire returns the waiting items that cannot be answered in time any more, and
+// forgets them.
 func (g *Guard) Expire(now time.Duration) []uint64 {
 	var out []uint64
 	for id, item := range g.byID {
@@ -122,7 +118,7 @@
 
 // expired tells whether the item is better refused than run.
 func (i *Item) expired(now time.Duration) bool {
-	return i.Deadline-now < i.Need || i.MaxWait > 0 && now-i.queued > i.MaxWait
+	return i.Deadline-now < i.Need
 }
 
 // Withdraw removes a waiting item, if there is such an item.
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -32,9 +32,6 @@
 	Deadline time.Duration
 	// Rank orders it among other requests.
 	Rank Rank
-	// MaxWait bounds its time in queues of the nodes it is sent to; 0 leaves the
-	// deadline as the bound.
-	MaxWait time.Duration
 	// Inner tells that the node's own upstream makes it on behalf of another
 	// request.
 	Inner bool
--- a/core/mesh/local.go
+++ b/core/mesh/local.go
@@ -22,15 +22,14 @@
 	Route    uint32
 	Rank     Rank
 	Deadline time.Duration
-	MaxWait  time.Duration
 }
 
 // Offer decides whether the own upstream gets w now, later or not at all.
 func (n *Node) Offer(now time.Duration, w Work) guard.Decision {
 	n.open(now, w)
 	d := n.guard.Offer(now, guard.Item{
-		ID: w.ID, Priority: w.Rank.Priority, Since: since(now, w.Rank.Age),
-		Deadline: w.Deadline, Need: n.needOf(w.Route), MaxWait: w.MaxWait,
+		ID: w.ID, Priority: w.Rank.Priority, Since: now - w.Rank.Age,
+		Deadline: w.Deadline, Need: n.needOf(w.Route),
 	})
 	if d == guard.Run {
 		n.WorkBegan(now, w)
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -114,6 +114,3 @@
 func (n *Node) Load() Load {
 	return Load{Running: n.guard.Running(), Queued: n.guard.Queued(), Limit: n.guard.Limit()}
 }
-
-// since turns an age into a time of this node's clock.
-func since(now, age time.Duration) time.Duration { return now - age }
--- a/harness/pattern/node.go
+++ b/harness/pattern/node.go
@@ -49,7 +49,7 @@
 	rank.Age += n.w.now - call.Arrived
 	job := mesh.Work{
 		ID: n.nextJob, Name: call.ID, Route: mesh.RouteID(call.Route), Rank: rank,
-		Deadline: call.Deadline, MaxWait: call.MaxWait,
+		Deadline: call.Deadline,
 	}
 	decided := func(d guard.Decision) {
 		if d != guard.Run {
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -100,8 +100,11 @@
 			continue
 		}
 		if l.cfg.Silence != nil {
-			// Without the bounds the connection works all the same.
-			_ = l.cfg.Silence.Apply(raw)
+			if err := l.cfg.Silence.Apply(raw); err != nil {
+				// The other side has gone already.
+				_ = raw.Close()
+				continue
+			}
 		}
 		c := newConn(l, raw)
 		l.add(c)
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -83,7 +83,7 @@
 	x.Response.Reset()
 	w := &work{
 		request: &x.Request, response: &x.Response, id: c.ID, rank: c.Rank, route: c.Rank.Root,
-		deadline: c.Deadline, maxWait: c.MaxWait, once: !c.Route.Idempotent,
+		deadline: c.Deadline, once: !c.Route.Idempotent,
 	}
 	w.rank.Age += s.now() - c.Arrived
 	x.Request.Header.Set(s.dialect.Headers.Expect, t.Upstream)
--- a/node/sidecar/hop.go
+++ b/node/sidecar/hop.go
@@ -25,7 +25,6 @@
 	rank     mesh.Rank
 	route    uint32
 	deadline time.Duration
-	maxWait  time.Duration
 	// once tells that the request must not run twice.
 	once bool
 }
@@ -40,8 +39,6 @@
 	b = strconv.AppendUint(b, uint64(w.rank.Root), 16)
 	b = append(b, ' ')
 	b = strconv.AppendUint(b, uint64(w.route), 16)
-	b = append(b, ' ')
-	b = strconv.AppendInt(b, w.maxWait.Milliseconds(), 10)
 	if w.rank.Rerun {
 		b = append(b, " rerun"...)
 	}
@@ -56,19 +53,18 @@
 	text, w.once = strings.CutSuffix(text, " once")
 	text, rerun := strings.CutSuffix(text, " rerun")
 	parts := strings.Split(text, " ")
-	if len(parts) != 5 {
+	if len(parts) != 4 {
 		return false
 	}
 	priority, err1 := strconv.Atoi(parts[0])
 	age, err2 := strconv.ParseInt(parts[1], 10, 32)
 	root, err3 := strconv.ParseUint(parts[2], 16, 32)
 	routeID, err4 := strconv.ParseUint(parts[3], 16, 32)
-	wait, err5 := strconv.ParseInt(parts[4], 10, 32)
-	if err1 != nil || err2 != nil || err3 != nil || err4 != nil || err5 != nil {
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
 		return false
 	}
 	w.rank = mesh.Rank{Priority: priority, Age: time.Duration(age) * time.Millisecond, Root: uint32(root), Rerun: rerun}
-	w.route, w.maxWait = uint32(routeID), time.Duration(wait)*time.Millisecond
+	w.route = uint32(routeID)
 	return true
 }
 
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -62,10 +62,8 @@
 
 // BoundSettings are the operators' bounds.
 type BoundSettings struct {
-	// Grace is how long a stop may take, Drain how long an upstream that leaves
-	// may still get work.
+	// Grace is how long a stop may take.
 	GraceSeconds float64 `yaml:"grace_seconds"`
-	DrainMS      float64 `yaml:"drain_ms"`
 	// Retries bound the repeats that each service gets within the window.
 	RetryRatio         float64 `yaml:"retry_ratio"`
 	RetrySlack         float64 `yaml:"retry_slack"`
@@ -77,7 +75,6 @@
 	defaultMemoryMB    = 256
 	defaultDescriptors = 1024
 	defaultGrace       = 6
-	defaultDrainMS     = 2000
 	defaultRetryRatio  = 0.2
 	defaultRetrySlack  = 10
 	defaultRetryWindow = 10
@@ -98,7 +95,7 @@
 	s := &Settings{
 		Limits: LimitSettings{MemoryMB: defaultMemoryMB, Descriptors: defaultDescriptors},
 		Bounds: BoundSettings{
-			GraceSeconds: defaultGrace, DrainMS: defaultDrainMS, RetryRatio: defaultRetryRatio,
+			GraceSeconds: defaultGrace, RetryRatio: defaultRetryRatio,
 			RetrySlack: defaultRetrySlack, RetryWindowSeconds: defaultRetryWindow,
 		},
 		LogLevel: logrus.InfoLevel.String(),
@@ -134,7 +131,7 @@
 		value float64
 	}{
 		{"limits.memory_mb", float64(s.Limits.MemoryMB)}, {"limits.descriptors", float64(s.Limits.Descriptors)},
-		{"bounds.grace_seconds", s.Bounds.GraceSeconds}, {"bounds.drain_ms", s.Bounds.DrainMS},
+		{"bounds.grace_seconds", s.Bounds.GraceSeconds},
 		{"bounds.retry_window_seconds", s.Bounds.RetryWindowSeconds},
 	} {
 		if f.value <= 0 {
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	tickInterval = 20 * time.Millisecond
 	// pruneInterval is how often idle connections are looked at.
 	pruneInterval = 5 * time.Second
+	// heapShare is the part of the instance's memory from which the collector works
+	// harder; the rest is for stacks, buffers of the kernel and the program itself.
+	heapShare = 0.7
 	// reservedDescriptors are kept for files, the store, heartbeats and
 	// listeners.
 	reservedDescriptors = 300
@@ -81,6 +85,7 @@
 		log: logging.New(out, level, logging.Field{Key: "node", Value: s.Node}),
 	}
 	sc.settings.Store(s)
+	debug.SetMemoryLimit(int64(heapShare * float64(s.Limits.MemoryMB<<20)))
 	sc.ctx, sc.cancel = context.WithCancel(context.Background())
 	sc.tasks = task.NewGroup(sc.fail)
 	incarnation := time.Now().UnixMicro()
--- a/node/sidecar/work.go
+++ b/node/sidecar/work.go
@@ -129,7 +129,7 @@
 func (s *Sidecar) offer(ctx context.Context, w *work) (mesh.Work, guard.Decision) {
 	s.mu.Lock()
 	s.nextID++
-	job := mesh.Work{ID: s.nextID, Name: w.id, Print: printOf(w.request), Route: w.route, Rank: w.rank, Deadline: w.deadline, MaxWait: w.maxWait}
+	job := mesh.Work{ID: s.nextID, Name: w.id, Print: printOf(w.request), Route: w.route, Rank: w.rank, Deadline: w.deadline}
 	d := s.node.Offer(s.now(), job)
 	if d == guard.Refuse {
 		s.node.WorkRefused(job)
