Send work past slow and full upstreams

The run times were also kept by the route of the caller's request and not by that of the call, which mixes calls of different length.

Change: a run that fails counts as at least as long as it took; full upstreams are compared beside the two with room, not instead of them; run times are kept by the call's own route.

--- a/core/mesh/arrive.go
+++ b/core/mesh/arrive.go
@@ -21,14 +21,17 @@
 	if r == nil {
 		return nil, Step{Kind: StepUnknownRoute, Reason: ReasonNoRoute}
 	}
-	c := &Call{ID: a.ID, print: a.Print, Route: r, Version: n.table.Version, Arrived: now, Deadline: now + defaultWait}
+	c := &Call{
+		ID: a.ID, print: a.Print, Route: r, RouteID: RouteID(r), Version: n.table.Version, Arrived: now,
+		Deadline: now + defaultWait,
+	}
 	if a.Wait > 0 {
 		c.Deadline = now + a.Wait
 	}
 	if r.Timeout > 0 {
 		c.Deadline = min(c.Deadline, now+r.Timeout)
 	}
-	c.Rank = Rank{Priority: r.Priority, Root: RouteID(r)}
+	c.Rank = Rank{Priority: r.Priority, Root: c.RouteID}
 	n.inherit(now, c, a.Parent)
 	if n.crasher(now, a.Print) {
 		return c, Step{Kind: StepFail, Reason: ReasonCrasher}
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -23,8 +23,10 @@
 // Call is one request at the node where it entered, from its arrival to its
 // answer.
 type Call struct {
-	ID      string
-	Route   *route.Route
+	ID    string
+	Route *route.Route
+	// RouteID is that of Route, see the function of that name.
+	RouteID uint32
 	Service string
 	Version route.Version
 	Arrived time.Duration
--- a/core/mesh/local.go
+++ b/core/mesh/local.go
@@ -62,7 +62,8 @@
 	n.guard.Done(w.ID)
 	delete(n.working, w.Name)
 	n.usage.ended(now, w.Rank.Root)
-	if ok {
+	if ok || took > n.runs.of(w.Route) {
+		// A run that failed or was given up would have taken at least as long.
 		n.runs.learn(w.Route, took)
 	}
 }
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -20,7 +20,7 @@
 	coldCost = 2
 	// unknownSlots stands for the limit of an instance that has not told its own.
 	unknownSlots = 16
-	// draws is the number of targets compared in each data centre.
+	// draws is the number of targets with room compared in each data centre.
 	draws = 2
 )
 
@@ -63,7 +63,8 @@
 	cost     float64
 }
 
-// best compares a few random candidates of each data centre.
+// best compares random candidates of each data centre until some of them have
+// room.
 func (n *Node) best(now time.Duration, c *Call, list []*registry.Upstream, accept func(*registry.Upstream, *peer) bool) choice {
 	var best choice
 	if len(list) == 0 {
@@ -84,7 +85,9 @@
 		if !accept(u, p) {
 			continue
 		}
-		*left--
+		if n.utilisation(p) <= 1 {
+			*left--
+		}
 		if cost := n.cost(now, c, u, p); best.upstream == nil || cost < best.cost {
 			best = choice{u, p, cost}
 		}
@@ -118,7 +121,7 @@
 
 // cost is the time that c is expected to take at u, in seconds.
 func (n *Node) cost(now time.Duration, c *Call, u *registry.Upstream, p *peer) float64 {
-	cost := n.runTime(c.Rank.Root, c.Service, p).Seconds()
+	cost := n.runTime(c.RouteID, c.Service, p).Seconds()
 	if full := n.utilisation(p); full > queueingFrom {
 		cost *= 1 + queueingCost*(full-queueingFrom)
 	}
--- a/core/mesh/runtime.go
+++ b/core/mesh/runtime.go
@@ -24,6 +24,14 @@
 	}
 }
 
+// of returns the mean of a route, or what stands for it.
+func (r runTimes) of(id uint32) time.Duration {
+	if d := r[id]; d > 0 {
+		return d
+	}
+	return unknownRun
+}
+
 func (r runTimes) stats() []RouteStat {
 	out := make([]RouteStat, 0, len(r))
 	for id, d := range r {
--- a/harness/pattern/node.go
+++ b/harness/pattern/node.go
@@ -48,7 +48,7 @@
 	rank := call.Rank
 	rank.Age += n.w.now - call.Arrived
 	job := mesh.Work{
-		ID: n.nextJob, Name: call.ID, Route: mesh.RouteID(call.Route), Rank: rank,
+		ID: n.nextJob, Name: call.ID, Route: call.RouteID, Rank: rank,
 		Deadline: call.Deadline,
 	}
 	decided := func(d guard.Decision) {
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -82,7 +82,7 @@
 func (s *Sidecar) attempt(ctx context.Context, x *listener.Exchange, c *mesh.Call, t mesh.Target) mesh.Outcome {
 	x.Response.Reset()
 	w := &work{
-		request: &x.Request, response: &x.Response, id: c.ID, rank: c.Rank, route: c.Rank.Root,
+		request: &x.Request, response: &x.Response, id: c.ID, rank: c.Rank, route: c.RouteID,
 		deadline: c.Deadline, once: !c.Route.Idempotent,
 	}
 	w.rank.Age += s.now() - c.Arrived
