Refuse at the entry what leads to a service that fell silent

Change: a service whose registered upstreams were all heard of and then fell silent has no room; requests for it are refused where they enter, with a time to come back, but for the few that keep its load known. What requests occupy there is not learnt meanwhile.

--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -69,6 +69,8 @@
 type serviceView struct {
 	// slots is the number of requests that its upstreams work on at once, and
 	// backlog the slots that it takes to work off the queue in drainTime.
+	// lost tells that all its upstreams fell silent.
+	lost bool
 	slots, backlog float64
 	runs           float64
 	busy           map[uint32]float64
@@ -150,7 +152,7 @@
 func (n *Node) viewServices(now time.Duration) map[string]*serviceView {
 	views := map[string]*serviceView{}
 	n.registry.Services(func(name string, list []*registry.Upstream) {
-		v := &serviceView{busy: map[uint32]float64{}, visited: map[uint32]float64{}}
+		v := &serviceView{lost: len(list) > 0, busy: map[uint32]float64{}, visited: map[uint32]float64{}}
 		for _, u := range list {
 			if b, ok := n.freshBeat(now, u.Instance); ok && b.Service == name && !u.Draining {
 				v.add(b)
@@ -159,6 +161,7 @@
 		views[name] = v
 	})
 	return views
+			v.lost = v.lost && n.fellSilent(now, u.Instance)
 }
 
 // freshBeat returns the newest heartbeat of an instance, its own among them.
@@ -177,6 +180,12 @@
 	v.slots += float64(b.Load.Limit)
 	busy, runs := 0.0, 0.0
 	for _, s := range b.Roots {
+// fellSilent tells whether an instance was heard of, but not of late.
+func (n *Node) fellSilent(now time.Duration, instance string) bool {
+	p := n.peers[instance]
+	return instance != n.cfg.Instance && p != nil && p.silent(now)
+}
+
 		v.busy[s.Root] += float64(s.Busy)
 		v.visited[s.Root] += float64(s.Runs)
 		busy += float64(s.Busy)
@@ -237,7 +246,8 @@
 		}
 		for name, v := range e.services {
 			key := loadKey{d.id, name}
-			if v.busy[d.id] == 0 && e.loads[key] == nil {
+			unseen := v.busy[d.id] == 0 && e.visits[key] == nil
+			if unseen || v.slots == 0 {
 				continue
 			}
 			learn(e.loads, key, v.busy[d.id]/d.admitted)
@@ -297,12 +307,13 @@
 }
 
 // fit returns the part of d that there is room for and takes that room. A
-// service that nobody was heard of bounds nothing.
+// service that nobody was heard of yet bounds nothing; one whose upstreams all
+// fell silent has no room.
 func (e *entry) fit(d fleetDemand, rooms map[string]float64) float64 {
 	part := 1.0
 	for name, v := range e.services {
 		wanted := d.offered * e.loads[loadKey{d.id, name}].of()
-		if v.slots > 0 && wanted > 0 {
+		if (v.slots > 0 || v.lost) && wanted > 0 {
 			part = min(part, max(rooms[name]/wanted, 0))
 		}
 	}
