Keep repeats within the bound while a service turns much away

In the first second nobody knows what a request leads to, and repeats of it counted as leading to nothing; calls made for a repeated run raised the number of repeats allowed; and a service that is called once for each run, with somewhat fewer arrivals, was not charged at all.

Change: what requests of a route lead to has to be known before any is repeated; calls of repeated runs are not counted as requests; services with half the runs or more are charged. Nodes also tell how many repeats arrived, and none is made while those are at three quarters of the bound, wherever they came from.

The check lets no window end before the run's own end, where it could not be full; the first windows, which are not full either, are still checked.

--- a/core/mesh/arrive.go
+++ b/core/mesh/arrive.go
@@ -54,7 +54,7 @@
 	load, age := n.utilisation(p), now-p.heardAt
 	c.attempt = &attempt{upstream: u, peer: p, started: now}
 	if len(c.tried) == 0 {
-		n.budget.sent(now, c.Service)
+		n.budget.sent(now, c)
 	}
 	c.tried = append(c.tried, u.Instance)
 	p.inFlight++
--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -16,8 +16,19 @@
 	// directShare is the part of the bounds that is used for repeats of requests
 	// to a service itself, and inducedShare the part for what repeats elsewhere
 	// lead to there. The rest covers counts that are some heartbeats old.
-	directShare  = 0.45
-	inducedShare = 0.1
+	directShare  = 0.6
+	inducedShare = 0.15
+	// stopShare is the part of the bounds from which the repeats that arrive stop
+	// all further ones, wherever they come from. The rest covers those under way
+	// while the counts are some heartbeats old.
+	stopShare = 0.75
+	// leastSeen is the number of plans after which it is known what requests lead
+	// to: those that began first have made most of their calls by then.
+	leastSeen = 8
+	// belowShare is the share of a service's runs for a root from which another
+	// may be called by it. One that is called once for each run has somewhat fewer
+	// when calls are refused; one above mostly has far fewer.
+	belowShare = 0.5
 	// maxBudgetServices bounds the services that repeats are counted of; from the
 	// long-run number of 800 services.
 	maxBudgetServices = 2000
@@ -84,9 +95,34 @@
 	return s
 }
 
-// sent counts the first send of a request.
-func (b *retryBudget) sent(now time.Duration, service string) {
-	b.service(service).requests.add(now, 1)
+// sent counts the first send of a request. Those made for a repeated run are
+// repeats themselves.
+func (b *retryBudget) sent(now time.Duration, c *Call) {
+	if !c.Rank.Rerun {
+		b.service(c.Service).requests.add(now, 1)
+	}
+}
+
+// arrivals counts what reached the own upstream within the window.
+type arrivals struct{ firsts, repeats counter }
+
+func (a *arrivals) began(now time.Duration, repeat bool) {
+	if repeat {
+		a.repeats.add(now, 1)
+		return
+	}
+	a.firsts.add(now, 1)
+}
+
+// spent tells whether so many repeats arrived at a service, as its nodes tell,
+// that cost more are too many.
+func (n *Node) spent(service string, cost float64) bool {
+	v := n.entry.services[service]
+	if v == nil {
+		return false
+	}
+	b := n.budget.bounds
+	return v.repeats+cost > stopShare*(b.Ratio*v.firsts+b.Slack)
 }
 
 // direct returns the repeats of requests to a service that this node may make
@@ -110,15 +146,19 @@
 func (n *Node) nodes() float64 { return float64(max(len(n.instances), 1)) }
 
 // takeRepeat takes what one repeat of c costs at its service and at those below,
-// and reports whether there was enough.
+// and reports whether there was enough. What requests of a new route lead to is
+// known some heartbeats after the first of them; until then none is repeated.
 func (n *Node) takeRepeat(now time.Duration, c *Call) bool {
 	window := n.budget.bounds.Window
-	if n.budget.service(c.Service).direct.sum(now, window)+1 > n.direct(now, c.Service) {
+	if n.spent(c.Service, 1) || n.budget.service(c.Service).direct.sum(now, window)+1 > n.direct(now, c.Service) {
+		return false
+	}
+	costs, known := n.inducedCosts(c)
+	if !known {
 		return false
 	}
-	costs := n.inducedCosts(c)
 	for service, cost := range costs {
-		if n.budget.service(service).induced.sum(now, window)+cost > n.induced(service) {
+		if n.spent(service, cost) || n.budget.service(service).induced.sum(now, window)+cost > n.induced(service) {
 			return false
 		}
 	}
@@ -130,17 +170,19 @@
 }
 
 // inducedCosts returns the arrivals that one run of c leads to at the services
-// below, as the runs of its root show.
-func (n *Node) inducedCosts(c *Call) map[string]float64 {
-	costs := map[string]float64{}
-	here := n.entry.visits[loadKey{c.Rank.Root, c.Service}].of()
-	if here == 0 {
-		return costs
+// below, as the runs of its root show; known is false while too few were observed.
+func (n *Node) inducedCosts(c *Call) (costs map[string]float64, known bool) {
+	l := n.entry.visits[loadKey{c.Rank.Root, c.Service}]
+	here := l.of()
+	if here == 0 || l.seen < leastSeen {
+		return nil, false
 	}
+	costs = map[string]float64{}
 	for service := range n.entry.services {
-		if there := n.entry.visits[loadKey{c.Rank.Root, service}].of(); service != c.Service && there >= here {
+		there := n.entry.visits[loadKey{c.Rank.Root, service}].of()
+		if service != c.Service && there >= belowShare*here {
 			costs[service] = there / here
 		}
 	}
-	return costs
+	return costs, true
 }
--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -43,13 +43,32 @@
 	}
 }
 
+// settle has a node learn that requests to service "a" lead to nothing else.
+func settle(n *Node) {
+	teller, root := "10.0.0.1", RouteID(testRoute("a", true))
+	if n.cfg.Instance == teller {
+		teller = "10.0.0.2"
+	}
+	for i := range leastSeen {
+		now := time.Duration(i+1) * time.Millisecond
+		n.Hear(now, teller, Heartbeat{
+			Incarnation: 1, Service: "a", Load: Load{Limit: 9}, Roots: []RootStat{{Root: root, Busy: 1, Runs: 10}},
+			Demand: []DemandStat{{Root: root, Offered: 10, Admitted: 10}},
+		})
+		n.Plan(now)
+	}
+}
+
 // TestRepeatsStayWithinTheBound: whatever the nodes do, all of them together send
 // a service no more repeats within any window than the bound says.
 func TestRepeatsStayWithinTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		nodes := newFleet(t, testRoute("a", true))
+		for _, n := range nodes {
+			settle(n)
+		}
 		var requests, repeats []time.Duration
-		now := time.Duration(0)
+		now := HeartbeatInterval
 		for range rapid.IntRange(1, 1500).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond
 			n := nodes[rapid.IntRange(0, 3).Draw(t, "node")]
@@ -115,3 +134,44 @@
 		t.Fatalf("step %+v", step)
 	}
 }
+
+// TestArrivingRepeatsStopFurtherOnes: when the repeats that arrived at a service
+// are near the bound, nobody makes more, whoever sent them.
+func TestArrivingRepeatsStopFurtherOnes(t *testing.T) {
+	nodes := newFleet(t, testRoute("a", true))
+	n := nodes[3]
+	settle(n)
+	again := func(now time.Duration) StepKind {
+		c, _ := n.Arrive(now, Arrival{ID: "1", Host: "h", Path: "/a/1"})
+		step := n.Ended(now, c, Outcome{Kind: Unknown, Reason: ReasonLost, Reached: true})
+		if step.Kind == StepSend {
+			n.Abandon(now, c)
+		}
+		return step.Kind
+	}
+	n.Hear(time.Second, "10.0.0.1", Heartbeat{Incarnation: 1, Service: "a", Load: Load{Limit: 9}, Firsts: 1000, Repeats: 100})
+	n.Plan(time.Second)
+	if got := again(time.Second); got != StepSend {
+		t.Errorf("step %v with 100 repeats of 249 allowed", got)
+	}
+	n.Hear(2*time.Second, "10.0.0.1", Heartbeat{Incarnation: 1, Service: "a", Load: Load{Limit: 9}, Firsts: 1000, Repeats: 190})
+	n.Plan(2 * time.Second)
+	if got := again(2 * time.Second); got != StepFail {
+		t.Errorf("step %v with 190 repeats of 249 allowed", got)
+	}
+}
+
+// TestRerunsAreNoRequests: calls made for a repeated run do not raise the number
+// of repeats that is allowed.
+func TestRerunsAreNoRequests(t *testing.T) {
+	n := newFleet(t, testRoute("a", true))[3]
+	before := n.direct(0, "a")
+	n.open(0, Work{Name: "p", Rank: Rank{Rerun: true}})
+	for range 100 {
+		c, _ := n.Arrive(0, Arrival{ID: "p.1", Host: "h", Path: "/a/1", Parent: "p"})
+		n.Abandon(0, c)
+	}
+	if got := n.direct(0, "a"); got != before {
+		t.Errorf("%.1f repeats allowed, %.1f before the reruns", got, before)
+	}
+}
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -25,8 +25,10 @@
 	// weigh less and less.
 	firstWeight = 1.0
 	// leastRate is the rate of requests, per second, from which their load on a
-	// service can be told.
+	// service can be told, and rareRate that from which their calls can: one
+	// within the time that a smoothed rate takes to settle.
 	leastRate = 1.0
+	rareRate  = 0.1
 	// maxRoots bounds the routes of callers that are planned for.
 	maxRoots = 512
 	// maxSaved is the number of admissions that a route with a falling share
@@ -67,14 +69,16 @@
 
 // serviceView sums up what the nodes of one service told.
 type serviceView struct {
-	// slots is the number of requests that its upstreams work on at once, and
-	// backlog the slots that it takes to work off the queue in drainTime.
 	// lost tells that all its upstreams fell silent.
 	lost bool
+	// slots is the number of requests that its upstreams work on at once, and
+	// backlog the slots that it takes to work off the queue in drainTime.
 	slots, backlog float64
 	runs           float64
-	busy           map[uint32]float64
-	visited        map[uint32]float64
+	// firsts and repeats sum up those of the heartbeats.
+	firsts, repeats float64
+	busy            map[uint32]float64
+	visited         map[uint32]float64
 }
 
 func newEntry() entry {
@@ -157,11 +161,11 @@
 			if b, ok := n.freshBeat(now, u.Instance); ok && b.Service == name && !u.Draining {
 				v.add(b)
 			}
+			v.lost = v.lost && n.fellSilent(now, u.Instance)
 		}
 		views[name] = v
 	})
 	return views
-			v.lost = v.lost && n.fellSilent(now, u.Instance)
 }
 
 // freshBeat returns the newest heartbeat of an instance, its own among them.
@@ -176,16 +180,18 @@
 	return p.beat, true
 }
 
-func (v *serviceView) add(b Heartbeat) {
-	v.slots += float64(b.Load.Limit)
-	busy, runs := 0.0, 0.0
-	for _, s := range b.Roots {
 // fellSilent tells whether an instance was heard of, but not of late.
 func (n *Node) fellSilent(now time.Duration, instance string) bool {
 	p := n.peers[instance]
 	return instance != n.cfg.Instance && p != nil && p.silent(now)
 }
 
+func (v *serviceView) add(b Heartbeat) {
+	v.slots += float64(b.Load.Limit)
+	v.firsts += float64(b.Firsts)
+	v.repeats += float64(b.Repeats)
+	busy, runs := 0.0, 0.0
+	for _, s := range b.Roots {
 		v.busy[s.Root] += float64(s.Busy)
 		v.visited[s.Root] += float64(s.Runs)
 		busy += float64(s.Busy)
@@ -241,7 +247,7 @@
 		clear(e.visits)
 	}
 	for _, d := range demand {
-		if d.admitted < leastRate {
+		if d.admitted < rareRate {
 			continue
 		}
 		for name, v := range e.services {
@@ -250,7 +256,9 @@
 			if unseen || v.slots == 0 {
 				continue
 			}
-			learn(e.loads, key, v.busy[d.id]/d.admitted)
+			if d.admitted >= leastRate {
+				learn(e.loads, key, v.busy[d.id]/d.admitted)
+			}
 			learn(e.visits, key, v.visited[d.id]/d.admitted)
 		}
 	}
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -40,10 +40,14 @@
 	Revision uint64
 	Service  string
 	Load     Load
-	Routes   []RouteStat
-	Roots    []RootStat
-	Demand   []DemandStat
-	Crashes  []CrashStat
+	// Firsts and Repeats are the arrivals at the upstream within the window of
+	// RetryBounds: of requests for the first time, and all others.
+	Firsts  float32
+	Repeats float32
+	Routes  []RouteStat
+	Roots   []RootStat
+	Demand  []DemandStat
+	Crashes []CrashStat
 }
 
 // RouteStat is what a node observed of one route at its own upstream.
@@ -95,9 +99,11 @@
 }
 
 // Heartbeat returns what this node tells others now.
-func (n *Node) Heartbeat(time.Duration) Heartbeat {
+func (n *Node) Heartbeat(now time.Duration) Heartbeat {
+	window := n.budget.bounds.Window
 	b := Heartbeat{
 		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(), Service: n.cfg.Service, Load: n.Load(),
+		Firsts: float32(n.arrivals.firsts.sum(now, window)), Repeats: float32(n.arrivals.repeats.sum(now, window)),
 		Routes: n.runs.stats(), Roots: n.usage.stats(), Demand: n.entry.stats(), Crashes: n.crashStats(),
 	}
 	if n.table != nil {
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -44,6 +44,7 @@
 	entry     entry
 	returns   returns
 	usage     usage
+	arrivals  arrivals
 	// working holds the requests that the own upstream has, by their id.
 	working map[string]lineage
 	leaving bool
--- a/harness/pattern/world.go
+++ b/harness/pattern/world.go
@@ -117,12 +117,14 @@
 }
 
 // Excess plays a world and returns by how much the repeats that a service got
-// within a window exceed the bound, at most; below 0 the bound was kept.
+// within a window exceed the bound, at most; below 0 the bound was kept. The
+// windows end at repeats, so that none reaches past the end of the run.
 func Excess(spec Spec) float64 {
 	_, w := play(spec)
 	worst := -retries.Slack
 	for service, repeats := range w.repeats {
-		for _, from := range repeats {
+		for _, at := range repeats {
+			from := at - retries.Window
 			allowed := retries.Slack + retries.Ratio*float64(within(w.firsts[service], from, retries.Window))
 			worst = max(worst, float64(within(repeats, from, retries.Window))-allowed)
 		}
