Let in what sound upstreams can carry, and send work to those

The load learnt from dying trees is also too small, which lets still more in.

Change: a node counts the runs that its own upstream fails by itself: turned away, or failed without a failed or open call of its own. It tells the share. Others send there only if nothing sound has room, and the plan counts slots as far as the bound on repeats can make up for the failures. The load of a route does not fall while less than 0.8 of its requests end well. An upstream that takes no connections gets nothing, is tried each 500 ms, and counts again once it answers or another one registers.

An idle node may repeat a few requests without knowing what they lead to, as TestShedRequestGoesElsewhere wants.

--- a/core/mesh/arrive.go
+++ b/core/mesh/arrive.go
@@ -34,7 +34,7 @@
 	c.Rank = Rank{Priority: r.Priority, Root: c.RouteID}
 	n.inherit(now, c, a.Parent)
 	if n.crasher(now, a.Print) {
-		return c, Step{Kind: StepFail, Reason: ReasonCrasher}
+		return c, c.conclude(Step{Kind: StepFail, Reason: ReasonCrasher}, false)
 	}
 	c.Service = n.splitter.Choose(r)
 	c.Returned = !c.Inner && n.returns.back(now, a)
@@ -42,7 +42,7 @@
 		n.returns.refused(now, a)
 		return c, Step{Kind: StepRefuse, Reason: ReasonEntry, RetryAfter: n.retryAfter(c)}
 	}
-	return c, n.send(now, c)
+	return c, c.conclude(n.send(now, c), false)
 }
 
 // send chooses the next target of c, or refuses it.
--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -25,6 +25,11 @@
 	// leastSeen is the number of plans after which it is known what requests lead
 	// to: those that began first have made most of their calls by then.
 	leastSeen = 8
+	// idleRequests is the number of requests within a window up to which a node
+	// counts as idle: a call or two for each of a few callers. maxBlind is the
+	// number of repeats that it then makes without knowing what they lead to.
+	idleRequests = 8
+	maxBlind     = 4
 	// belowShare is the share of a service's runs for a root from which another
 	// may be called by it. One that is called once for each run has somewhat fewer
 	// when calls are refused; one above mostly has far fewer.
@@ -40,6 +45,9 @@
 type retryBudget struct {
 	bounds   RetryBounds
 	services map[string]*serviceBudget
+	// all counts the requests to any service, blind the repeats of requests of
+	// which it was not known what they lead to.
+	all, blind counter
 }
 
 // serviceBudget counts within the window what one service got because of this
@@ -95,9 +103,16 @@
 	return s
 }
 
+// idle tells whether this node sent so little that one repeat that leads to
+// nobody knows what does no harm.
+func (b *retryBudget) idle(now time.Duration) bool {
+	return b.all.sum(now, b.bounds.Window) <= idleRequests && b.blind.sum(now, b.bounds.Window) < maxBlind
+}
+
 // sent counts the first send of a request. Those made for a repeated run are
 // repeats themselves.
 func (b *retryBudget) sent(now time.Duration, c *Call) {
+	b.all.add(now, 1)
 	if !c.Rank.Rerun {
 		b.service(c.Service).requests.add(now, 1)
 	}
@@ -147,14 +162,15 @@
 
 // takeRepeat takes what one repeat of c costs at its service and at those below,
 // and reports whether there was enough. What requests of a new route lead to is
-// known some heartbeats after the first of them; until then none is repeated.
+// known some heartbeats after the first of them; until then only an idle node
+// repeats one.
 func (n *Node) takeRepeat(now time.Duration, c *Call) bool {
 	window := n.budget.bounds.Window
 	if n.spent(c.Service, 1) || n.budget.service(c.Service).direct.sum(now, window)+1 > n.direct(now, c.Service) {
 		return false
 	}
 	costs, known := n.inducedCosts(c)
-	if !known {
+	if !known && !n.budget.idle(now) {
 		return false
 	}
 	for service, cost := range costs {
@@ -163,6 +179,9 @@
 		}
 	}
 	n.budget.service(c.Service).direct.add(now, 1)
+	if !known {
+		n.budget.blind.add(now, 1)
+	}
 	for service, cost := range costs {
 		n.budget.service(service).induced.add(now, cost)
 	}
--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -53,7 +53,7 @@
 		now := time.Duration(i+1) * time.Millisecond
 		n.Hear(now, teller, Heartbeat{
 			Incarnation: 1, Service: "a", Load: Load{Limit: 9}, Roots: []RootStat{{Root: root, Busy: 1, Runs: 10}},
-			Demand: []DemandStat{{Root: root, Offered: 10, Admitted: 10}},
+			Demand: []DemandStat{{Root: root, Offered: 10, Admitted: 10, Served: 10}},
 		})
 		n.Plan(now)
 	}
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -51,6 +51,10 @@
 	refusedBy int
 	attempt   *attempt
 	print     uint64
+	// origin is the request of the own upstream that it is made for, nil if none.
+	origin *lineage
+	// demand is what callers ask for on its route, nil for calls of upstreams.
+	demand *rootDemand
 }
 
 // Attempts returns the number of sends so far.
--- a/core/mesh/crash_test.go
+++ b/core/mesh/crash_test.go
@@ -30,7 +30,7 @@
 		}
 		n.Offer(0, bad)
 		n.WorkCrashed(0, bad)
-		n.WorkDone(0, bad, time.Millisecond, false)
+		n.WorkDone(0, bad, time.Millisecond, RunFailed)
 		tell(0, nodes)
 	}
 	for _, n := range nodes {
@@ -55,7 +55,7 @@
 	if !child.Inner || child.Rank != (Rank{Priority: 7, Age: 2 * time.Second, Root: 99, Rerun: true}) {
 		t.Errorf("call %+v", child)
 	}
-	n.WorkDone(12*time.Second, w, time.Second, true)
+	n.WorkDone(12*time.Second, w, time.Second, RunSucceeded)
 	orphan, _ := n.Arrive(12*time.Second, Arrival{ID: "r1.y", Parent: "r1", Host: "h", Path: "/b/1"})
 	if orphan.Inner || orphan.Rank.Root == 99 {
 		t.Errorf("orphan %+v", orphan)
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -29,6 +29,9 @@
 	// within the time that a smoothed rate takes to settle.
 	leastRate = 1.0
 	rareRate  = 0.1
+	// leastServed is the share of a route's requests that end well from which their
+	// load is that of whole requests.
+	leastServed = 0.8
 	// maxRoots bounds the routes of callers that are planned for.
 	maxRoots = 512
 	// maxSaved is the number of admissions that a route with a falling share
@@ -38,10 +41,11 @@
 
 // rootDemand is what callers at this node ask for on one route.
 type rootDemand struct {
-	priority          int
-	offered, admitted int
-	offeredRate       float64
-	admittedRate      float64
+	priority int
+	// offered, admitted and served count requests in this interval; the rates are
+	// per second, smoothed.
+	offered, admitted, served             int
+	offeredRate, admittedRate, servedRate float64
 	// share is the part of the requests that is let in, and credit the
 	// admissions that it has saved up.
 	share  float64
@@ -71,8 +75,9 @@
 type serviceView struct {
 	// lost tells that all its upstreams fell silent.
 	lost bool
-	// slots is the number of requests that its upstreams work on at once, and
-	// backlog the slots that it takes to work off the queue in drainTime.
+	// slots is the number of requests that its upstreams can work on at once, see
+	// usableSlots, and backlog the slots that it takes to work off the queue in
+	// drainTime.
 	slots, backlog float64
 	runs           float64
 	// firsts and repeats sum up those of the heartbeats.
@@ -122,6 +127,7 @@
 	}
 	d.credit--
 	d.admitted++
+	c.demand = d
 	return true
 }
 
@@ -136,12 +142,14 @@
 	for id, d := range n.entry.roots {
 		d.offeredRate += rateWeight * (float64(d.offered)/elapsed - d.offeredRate)
 		d.admittedRate += rateWeight * (float64(d.admitted)/elapsed - d.admittedRate)
-		d.offered, d.admitted = 0, 0
+		d.servedRate += rateWeight * (float64(d.served)/elapsed - d.servedRate)
+		d.offered, d.admitted, d.served = 0, 0, 0
 		if d.offeredRate < forgetRate {
 			delete(n.entry.roots, id)
 		}
 	}
 	n.usage.close(now)
+	n.faults.close()
 	n.entry.services = n.viewServices(now)
 	demand := n.viewDemand(now)
 	n.entry.learn(demand)
@@ -157,12 +165,15 @@
 	views := map[string]*serviceView{}
 	n.registry.Services(func(name string, list []*registry.Upstream) {
 		v := &serviceView{lost: len(list) > 0, busy: map[uint32]float64{}, visited: map[uint32]float64{}}
+		var offers []offer
 		for _, u := range list {
 			if b, ok := n.freshBeat(now, u.Instance); ok && b.Service == name && !u.Draining {
 				v.add(b)
+				offers = append(offers, offer{float64(b.Load.Limit), float64(b.Faults)})
 			}
 			v.lost = v.lost && n.fellSilent(now, u.Instance)
 		}
+		v.slots = usableSlots(offers, directShare*n.budget.bounds.Ratio)
 		views[name] = v
 	})
 	return views
@@ -187,7 +198,6 @@
 }
 
 func (v *serviceView) add(b Heartbeat) {
-	v.slots += float64(b.Load.Limit)
 	v.firsts += float64(b.Firsts)
 	v.repeats += float64(b.Repeats)
 	busy, runs := 0.0, 0.0
@@ -206,9 +216,9 @@
 
 // fleetDemand is what callers of all nodes ask for on one route.
 type fleetDemand struct {
-	id                uint32
-	priority          int
-	offered, admitted float64
+	id                        uint32
+	priority                  int
+	offered, admitted, served float64
 }
 
 // viewDemand sums up the demand that all nodes told, by route, the most
@@ -228,6 +238,7 @@
 			}
 			d.offered += float64(s.Offered)
 			d.admitted += float64(s.Admitted)
+			d.served += float64(s.Served)
 		}
 	}
 	list := make([]fleetDemand, 0, len(sums))
@@ -256,10 +267,11 @@
 			if unseen || v.slots == 0 {
 				continue
 			}
+			whole := d.served >= leastServed*d.admitted
 			if d.admitted >= leastRate {
-				learn(e.loads, key, v.busy[d.id]/d.admitted)
+				learn(e.loads, key, v.busy[d.id]/d.admitted, whole)
 			}
-			learn(e.visits, key, v.visited[d.id]/d.admitted)
+			learn(e.visits, key, v.visited[d.id]/d.admitted, whole)
 		}
 	}
 }
@@ -279,13 +291,17 @@
 	return l.value
 }
 
-// learn takes one observation in.
-func learn(m map[loadKey]*learnt, key loadKey, value float64) {
+// learn takes one observation in. whole tells that most requests ended well: those
+// that fail make fewer calls, so that their load says only what is the least.
+func learn(m map[loadKey]*learnt, key loadKey, value float64, whole bool) {
 	l := m[key]
 	if l == nil {
 		l = &learnt{}
 		m[key] = l
 	}
+	if !whole && value < l.value {
+		return
+	}
 	weight := max(loadWeight, firstWeight-loadWeight*float64(l.seen)/2)
 	l.value += weight * (value - l.value)
 	l.seen++
@@ -353,6 +369,7 @@
 	for id, d := range e.roots {
 		out = append(out, DemandStat{
 			Root: id, Priority: int32(d.priority), Offered: float32(d.offeredRate), Admitted: float32(d.admittedRate),
+			Served: float32(d.servedRate),
 		})
 	}
 	slices.SortFunc(out, func(a, b DemandStat) int {
--- a/core/mesh/entry_test.go
+++ b/core/mesh/entry_test.go
@@ -24,7 +24,7 @@
 					b.Roots = []RootStat{{Root: root, Busy: 1, Runs: 10}}
 				}
 				if i == 0 {
-					b.Demand = []DemandStat{{Root: root, Offered: 20, Admitted: 20}}
+					b.Demand = []DemandStat{{Root: root, Offered: 20, Admitted: 20, Served: 20}}
 				}
 				n.Hear(now, other.cfg.Instance, b)
 			}
--- /dev/null
+++ b/core/mesh/faults.go
@@ -0,0 +1,124 @@
+package mesh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// faultWeight is the weight of one run in the share of faults.
+	faultWeight = 0.05
+	// idleDecay is what remains of the share after an interval without a run, so
+	// that an upstream that nobody sends to any more is tried again: half after
+	// five seconds.
+	idleDecay = 0.973
+	// mostFaults is the share of faults up to which an upstream counts as any use.
+	mostFaults = 0.98
+	// leastUse is the part of what faulty upstreams can do that requests are let
+	// in for, however many of their calls have to be repeated.
+	leastUse = 0.1
+)
+
+// RunEnd is how a request ended at the own upstream.
+type RunEnd uint8
+
+// The ends of runs.
+const (
+	// RunSucceeded is a whole answer of success.
+	RunSucceeded RunEnd = iota + 1
+	// RunTurnedAway is a refusal by the upstream itself.
+	RunTurnedAway
+	// RunFailed is a failure, or no answer.
+	RunFailed
+	// RunUnreachable is an upstream that takes no connections.
+	RunUnreachable
+	// RunCutShort is an end that says nothing of the upstream.
+	RunCutShort
+)
+
+// faults is the share of runs that the own upstream failed by itself, not
+// because one of its calls failed or took long.
+type faults struct {
+	share float64
+	runs  int
+	// down is set while the upstream takes no connections.
+	down bool
+}
+
+func (f *faults) learn(end RunEnd, l *lineage) {
+	fault := 0.0
+	switch {
+	case end == RunCutShort:
+		return
+	case end == RunTurnedAway:
+		fault = 1
+	case end == RunUnreachable:
+		f.down, f.share = true, 1
+		return
+	case end == RunFailed && (l == nil || l.open == 0 && l.failed == 0):
+		fault = 1
+	case end == RunFailed:
+		return
+	}
+	f.runs++
+	f.down = false
+	f.share += faultWeight * (fault - f.share)
+}
+
+// close ends an interval.
+func (f *faults) close() {
+	if f.runs == 0 && !f.down {
+		f.share *= idleDecay
+	}
+	f.runs = 0
+}
+
+// faultShare is the share of faults of an instance's upstream, as it told.
+func (n *Node) faultShare(p *peer) float64 {
+	if p.instance == n.cfg.Instance {
+		return n.faults.share
+	}
+	return float64(p.beat.Faults)
+}
+
+// offer is what one upstream has to give.
+type offer struct{ slots, faults float64 }
+
+// usableSlots returns the slots that admitted requests can fill. Requests that an
+// upstream turns away or fails have to be repeated elsewhere, and repeats are
+// bounded to a share of all: of faulty upstreams as much counts as that allows.
+func usableSlots(offers []offer, repeats float64) float64 {
+	slices.SortFunc(offers, func(a, b offer) int { return cmp.Compare(a.faults, b.faults) })
+	sum, most, again := 0.0, 0.0, 0.0
+	for _, o := range offers {
+		f := min(o.faults, mostFaults)
+		most += o.slots * (1 - f)
+		perServed := f / (1 - f)
+		fits := o.slots
+		if perServed > repeats {
+			fits = min(fits, max(repeats*sum-again, 0)/(perServed-repeats))
+		}
+		sum += fits
+		again += fits * perServed
+	}
+	return max(sum, leastUse*most)
+}
+
+// endRun takes in what the end of a run says of the own upstream.
+func (n *Node) endRun(w Work, took time.Duration, end RunEnd) {
+	n.faults.learn(end, n.working[w.Name])
+	slow := end != RunTurnedAway && end != RunUnreachable && took > n.runs.of(w.Route)
+	if end == RunSucceeded || slow {
+		// A run that failed or was given up would have taken at least as long.
+		n.runs.learn(w.Route, took)
+	}
+}
+
+// UpstreamDown tells whether the own upstream takes no connections; then it gets
+// no work, and is to be tried until it does.
+func (n *Node) UpstreamDown() bool { return n.faults.down }
+
+// UpstreamBack takes in that the own upstream takes connections again, or is
+// another one.
+func (n *Node) UpstreamBack() { n.faults = faults{} }
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -40,6 +40,8 @@
 	Revision uint64
 	Service  string
 	Load     Load
+	// Faults is the share of runs that the upstream failed by itself.
+	Faults float32
 	// Firsts and Repeats are the arrivals at the upstream within the window of
 	// RetryBounds: of requests for the first time, and all others.
 	Firsts  float32
@@ -73,9 +75,11 @@
 	_        struct{} `cbor:",toarray"`
 	Root     uint32
 	Priority int32
-	// Offered is the requests per second, Admitted those that were let in.
+	// Offered is the requests per second, Admitted those that were let in, and
+	// Served those that succeeded.
 	Offered  float32
 	Admitted float32
+	Served   float32
 }
 
 // RouteID names a route in messages between nodes.
@@ -102,7 +106,7 @@
 func (n *Node) Heartbeat(now time.Duration) Heartbeat {
 	window := n.budget.bounds.Window
 	b := Heartbeat{
-		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(), Service: n.cfg.Service, Load: n.Load(),
+		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(), Service: n.cfg.Service, Load: n.Load(), Faults: float32(n.faults.share),
 		Firsts: float32(n.arrivals.firsts.sum(now, window)), Repeats: float32(n.arrivals.repeats.sum(now, window)),
 		Routes: n.runs.stats(), Roots: n.usage.stats(), Demand: n.entry.stats(), Crashes: n.crashStats(),
 	}
--- a/core/mesh/local.go
+++ b/core/mesh/local.go
@@ -60,15 +60,12 @@
 func (n *Node) ExpireWork(now time.Duration) []uint64 { return n.guard.Expire(now) }
 
 // WorkDone takes the end of a request at the own upstream. took is its time
-// there; ok tells that it ended with a whole answer of success.
-func (n *Node) WorkDone(now time.Duration, w Work, took time.Duration, ok bool) {
+// there.
+func (n *Node) WorkDone(now time.Duration, w Work, took time.Duration, end RunEnd) {
 	n.guard.Done(w.ID)
+	n.endRun(w, took, end)
 	delete(n.working, w.Name)
 	n.usage.ended(now, w.Rank.Root)
-	if ok || took > n.runs.of(w.Route) {
-		// A run that failed or was given up would have taken at least as long.
-		n.runs.learn(w.Route, took)
-	}
 }
 
 // WorkRefused takes the end of a request that the own upstream did not get.
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -45,8 +45,11 @@
 	returns   returns
 	usage     usage
 	arrivals  arrivals
+	faults    faults
+	// ownID is the registration of the own upstream that faults are counted of.
+	ownID string
 	// working holds the requests that the own upstream has, by their id.
-	working map[string]lineage
+	working map[string]*lineage
 	leaving bool
 }
 
@@ -57,7 +60,7 @@
 		splitter: route.NewSplitter(), registry: registry.New(), guard: guard.New(),
 		budget: newRetryBudget(cfg.Retries), runs: runTimes{},
 		peers: map[string]*peer{}, instances: map[string]string{}, groups: map[string]*group{},
-		crashers: poison.New(poison.Config{Remember: crashMemory, Max: maxCrashers}), entry: newEntry(), returns: returns{until: map[uint64]time.Duration{}}, usage: usage{roots: map[uint32]*rootUsage{}}, working: map[string]lineage{},
+		crashers: poison.New(poison.Config{Remember: crashMemory, Max: maxCrashers}), entry: newEntry(), returns: returns{until: map[uint64]time.Duration{}}, usage: usage{roots: map[uint32]*rootUsage{}}, working: map[string]*lineage{},
 	}
 	n.guard.SetLimit(unknownSlots)
 	return n
@@ -90,6 +93,10 @@
 		}
 	})
 	if own := n.own(); own != nil {
+		if own.ID != n.ownID {
+			n.ownID = own.ID
+			n.UpstreamBack()
+		}
 		n.guard.SetLimit(limitOf(own.Slots))
 	}
 }
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -16,11 +16,18 @@
 	queueingFrom = 0.5
 	// queueingCost is how much slower a full target counts than an idle one.
 	queueingCost = 2
+	// faultCost is how much slower an upstream counts that fails every second
+	// request: a failed call mostly takes a repeat, which are few, or the whole
+	// request with it.
+	faultCost = 4
 	// coldCost is how much slower an upstream counts that has just started.
 	coldCost = 2
 	// unknownSlots stands for the limit of an instance that has not told its own.
 	unknownSlots = 16
-	// draws is the number of targets with room compared in each data centre.
+	// faultyFrom is the share of faults from which more targets are compared: well
+	// above the few percent that occur in any fleet.
+	faultyFrom = 0.1
+	// draws is the number of sound targets with room compared in each data centre.
 	draws = 2
 )
 
@@ -64,7 +71,7 @@
 }
 
 // best compares random candidates of each data centre until some of them have
-// room.
+// room and are sound.
 func (n *Node) best(now time.Duration, c *Call, list []*registry.Upstream, accept func(*registry.Upstream, *peer) bool) choice {
 	var best choice
 	if len(list) == 0 {
@@ -85,7 +92,7 @@
 		if !accept(u, p) {
 			continue
 		}
-		if n.utilisation(p) <= 1 {
+		if n.utilisation(p) <= 1 && n.faultShare(p) < faultyFrom {
 			*left--
 		}
 		if cost := n.cost(now, c, u, p); best.upstream == nil || cost < best.cost {
@@ -125,6 +132,8 @@
 	if full := n.utilisation(p); full > queueingFrom {
 		cost *= 1 + queueingCost*(full-queueingFrom)
 	}
+	f := min(n.faultShare(p), mostFaults)
+	cost *= 1 + faultCost*f/(1-f)
 	if now < u.ColdUntil {
 		cost *= coldCost
 	}
--- a/core/mesh/pick_test.go
+++ b/core/mesh/pick_test.go
@@ -40,18 +40,18 @@
 func TestGivenUpRunsCount(t *testing.T) {
 	n := newFleet(t, testRoute("a", true))[0]
 	id := RouteID(testRoute("a", true))
-	run := func(i uint64, took time.Duration, ok bool) {
+	run := func(i uint64, took time.Duration, end RunEnd) {
 		w := Work{ID: i, Route: id, Deadline: time.Hour}
 		n.Offer(0, w)
-		n.WorkDone(0, w, took, ok)
+		n.WorkDone(0, w, took, end)
 	}
-	run(1, time.Millisecond, false)
+	run(1, time.Millisecond, RunTurnedAway)
 	if got := n.runs.of(id); got != unknownRun {
 		t.Errorf("run time %v after a request that was turned away", got)
 	}
-	run(2, 20*time.Millisecond, true)
+	run(2, 20*time.Millisecond, RunSucceeded)
 	for i := range uint64(60) {
-		run(3+i, 700*time.Millisecond, false)
+		run(3+i, 700*time.Millisecond, RunFailed)
 	}
 	if got := n.runs.of(id); got < 600*time.Millisecond {
 		t.Errorf("run time %v after 60 runs that were given up at 700 ms", got)
--- a/core/mesh/result.go
+++ b/core/mesh/result.go
@@ -12,8 +12,15 @@
 	serverError = 500
 )
 
+// firstFailure is the lowest status of answers that are no success.
+const firstFailure = 400
+
 // Ended takes the end of c's open attempt and returns what to do next.
 func (n *Node) Ended(now time.Duration, c *Call, o Outcome) Step {
+	return c.conclude(n.next(now, c, o), o.Kind == Answered && o.Status < firstFailure)
+}
+
+func (n *Node) next(now time.Duration, c *Call, o Outcome) Step {
 	n.settle(now, c, o)
 	if o.Reached {
 		c.reached++
@@ -58,7 +65,7 @@
 		a.peer.outlier.Unsure()
 	case o.Kind == Answered && o.Status < serverError, o.Reason == ReasonBusy:
 		a.peer.outlier.Succeeded(now, g)
-	case o.Reason == ReasonDeadline || o.Reason == ReasonMoved || o.Kind == Answered:
+	case o.Reason == ReasonDeadline || o.Reason == ReasonMoved || o.Reason == ReasonShed || o.Kind == Answered:
 		a.peer.outlier.Unsure()
 	default:
 		a.peer.outlier.Failed(now, g)
@@ -124,4 +131,5 @@
 // Abandon ends the open attempt of a call that nobody waits for any more.
 func (n *Node) Abandon(now time.Duration, c *Call) {
 	n.settle(now, c, Outcome{Kind: Unknown, Reason: ReasonDeadline})
+	c.conclude(Step{}, false)
 }
--- a/harness/pattern/greyshed.go
+++ b/harness/pattern/greyshed.go
@@ -5,6 +5,6 @@
 // caller meets several refusals below.
 func GreyShed(factor float64) Spec {
 	s := FanOut(factor)
-	s.Services[3].Shed = 0.55
+	s.Services[3].Sheds = []float64{0.55}
 	return s
 }
--- a/harness/pattern/node.go
+++ b/harness/pattern/node.go
@@ -57,8 +57,8 @@
 			done(mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonBusy, Load: n.mesh.Load(), Known: true})
 			return
 		}
-		if n.arrives(call, job); n.w.random.Float64() < n.service.Shed {
-			n.mesh.WorkDone(n.w.now, job, 0, false)
+		if n.arrives(call, job); n.w.now >= n.service.ShedFrom && n.w.random.Float64() < n.shed {
+			n.mesh.WorkDone(n.w.now, job, 0, mesh.RunTurnedAway)
 			n.drain()
 			done(mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonShed, Reached: true, Load: n.mesh.Load(), Known: true})
 			return
@@ -96,7 +96,11 @@
 			return
 		}
 		ended = true
-		n.mesh.WorkDone(n.w.now, job, n.w.now-began, status < 500)
+		how := mesh.RunSucceeded
+		if status >= 500 {
+			how = mesh.RunFailed
+		}
+		n.mesh.WorkDone(n.w.now, job, n.w.now-began, how)
 		n.drain()
 		done(mesh.Outcome{Kind: mesh.Answered, Reached: true, Status: status, Load: n.mesh.Load(), Known: true})
 	}
--- a/harness/pattern/world.go
+++ b/harness/pattern/world.go
@@ -47,8 +47,11 @@
 	Slots   int
 	// Speeds are how quick the upstreams are, in turn; 1 if there are none.
 	Speeds []float64
-	// Shed is the part of the requests that an upstream turns away unrun.
-	Shed float64
+	// Sheds are the parts of the requests that the upstreams turn away unrun, in
+	// turn; 0 if there are none.
+	Sheds []float64
+	// ShedFrom is when they begin to do so.
+	ShedFrom time.Duration
 }
 
 // Demand is the requests of callers for one class, per second, spread over all
@@ -102,6 +105,7 @@
 	ip      string
 	mesh    *mesh.Node
 	speed   float64
+	shed    float64
 	service *Service
 	waiting map[uint64]func(guard.Decision)
 	nextJob uint64
@@ -182,6 +186,9 @@
 			if len(s.Speeds) > 0 {
 				n.speed = s.Speeds[i%len(s.Speeds)]
 			}
+			if len(s.Sheds) > 0 {
+				n.shed = s.Sheds[i%len(s.Sheds)]
+			}
 			n.mesh = mesh.New(mesh.Config{
 				Instance: ip, Incarnation: 1, Service: s.Name, DataCentre: "a", Seed: w.spec.Seed + uint64(len(w.nodes)),
 				Retries: retries,
--- a/node/sidecar/beat.go
+++ b/node/sidecar/beat.go
@@ -21,20 +21,15 @@
 // over UDP: a connection that falls silent must not silence them, and a lost one
 // is made up for by the next.
 func (s *Sidecar) beat() {
-	ticker := time.NewTicker(mesh.HeartbeatInterval)
-	defer ticker.Stop()
-	for beats := 0; ; beats++ {
-		select {
-		case <-s.ctx.Done():
-			_ = s.heartbeats.Close()
-			return
-		case <-ticker.C:
-			s.sendHeartbeats()
-		}
+	beats := 0
+	s.every(mesh.HeartbeatInterval, func() {
+		s.sendHeartbeats()
 		if beats%planLogBeats == 0 {
 			s.logPlan()
 		}
-	}
+		beats++
+	})
+	_ = s.heartbeats.Close()
 }
 
 func (s *Sidecar) sendHeartbeats() {
--- a/node/sidecar/carry.go
+++ b/node/sidecar/carry.go
@@ -86,8 +86,12 @@
 	}
 	conn, err := p.GetFresh(min(left, dialLimit), idle)
 	if err != nil {
+		reason := mesh.ReasonUnreachable
+		if errors.Is(err, pool.ErrFull) {
+			reason = mesh.ReasonBusy
+		}
 		s.log.Info("not connected", field("address", p.Address()), field("request", w.id), field("error", err))
-		return mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonUnreachable}
+		return mesh.Outcome{Kind: mesh.NotRun, Reason: reason}
 	}
 	left = w.deadline - s.now()
 	if left < time.Millisecond || ctx.Err() != nil {
--- a/node/sidecar/catchup.go
+++ b/node/sidecar/catchup.go
@@ -31,23 +31,13 @@
 // errState is a state that cannot be used.
 var errState = errors.New("unusable state")
 
-// catchUp asks other nodes for what the store does not tell, until the node
-// stops.
+// catchUp asks another node for what the store does not tell.
 func (s *Sidecar) catchUp() {
-	ticker := time.NewTicker(catchUpInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		s.mu.Lock()
-		instance, behind := s.node.AskPeer(s.now())
-		s.mu.Unlock()
-		if behind {
-			s.catchUpFrom(instance)
-		}
+	s.mu.Lock()
+	instance, behind := s.node.AskPeer(s.now())
+	s.mu.Unlock()
+	if behind {
+		s.catchUpFrom(instance)
 	}
 }
 
--- a/node/sidecar/reload.go
+++ b/node/sidecar/reload.go
@@ -14,20 +14,13 @@
 	if s.path == "" {
 		return
 	}
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
 	seen := changedAt(s.path)
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-			if at := changedAt(s.path); !at.Equal(seen) {
-				seen = at
-				s.Reload()
-			}
+	s.every(reloadInterval, func() {
+		if at := changedAt(s.path); !at.Equal(seen) {
+			seen = at
+			s.Reload()
 		}
-	}
+	})
 }
 
 func changedAt(path string) time.Time {
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -30,6 +30,9 @@
 	tickInterval = 20 * time.Millisecond
 	// pruneInterval is how often idle connections are looked at.
 	pruneInterval = 5 * time.Second
+	// retryUpstream is how often an upstream that is down is connected to: its
+	// restart takes seconds.
+	retryUpstream = 500 * time.Millisecond
 	// heapShare is the part of the instance's memory from which the collector works
 	// harder; the rest is for stacks, buffers of the kernel and the program itself.
 	heapShare = 0.7
@@ -103,12 +106,13 @@
 		return nil, err
 	}
 	sc.tasks.Go(sc.readStore)
-	sc.tasks.Go(sc.tick)
-	sc.tasks.Go(sc.beat)
 	sc.tasks.Go(sc.hear)
-	sc.tasks.Go(sc.prune)
-	sc.tasks.Go(sc.catchUp)
+	sc.tasks.Go(sc.beat)
 	sc.tasks.Go(sc.watchSettings)
+	sc.tasks.Go(func() { sc.every(tickInterval, sc.tick) })
+	sc.tasks.Go(func() { sc.every(pruneInterval, sc.prune) })
+	sc.tasks.Go(func() { sc.every(catchUpInterval, sc.catchUp) })
+	sc.tasks.Go(func() { sc.every(retryUpstream, sc.tryUpstream) })
 	sc.log.Info("started", field("service", s.Service), field("data_centre", s.DataCentre),
 		field("instance", sc.instance), field("incarnation", incarnation))
 	return sc, nil
@@ -193,48 +197,46 @@
 	return limits
 }
 
-// tick passes time to the requests that wait for the own upstream.
-func (s *Sidecar) tick() {
-	ticker := time.NewTicker(tickInterval)
+// every calls do once in each interval until the node stops.
+func (s *Sidecar) every(interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
-			s.mu.Lock()
-			now := s.now()
-			for _, id := range s.node.ExpireWork(now) {
-				s.tell(id, guard.Refuse)
-			}
-			s.drainWork(now)
-			dropped := s.node.Registry().Tick(now)
-			if len(dropped) > 0 {
-				s.node.Registered()
-			}
-			s.mu.Unlock()
-			for _, id := range dropped {
-				s.log.Info("upstream gone", field("upstream", id), field("cause", "not back after outage"))
-			}
+			do()
 		}
 	}
 }
 
+// tick passes time to the requests that wait for the own upstream.
+func (s *Sidecar) tick() {
+	s.mu.Lock()
+	now := s.now()
+	for _, id := range s.node.ExpireWork(now) {
+		s.tell(id, guard.Refuse)
+	}
+	s.drainWork(now)
+	dropped := s.node.Registry().Tick(now)
+	if len(dropped) > 0 {
+		s.node.Registered()
+	}
+	s.mu.Unlock()
+	for _, id := range dropped {
+		s.log.Info("upstream gone", field("upstream", id), field("cause", "not back after outage"))
+	}
+}
+
+// prune closes connections that were idle for long.
 func (s *Sidecar) prune() {
-	ticker := time.NewTicker(pruneInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case now := <-ticker.C:
-			s.upstream.Prune(now)
-			s.peersMu.Lock()
-			for _, p := range s.peers {
-				p.Prune(now)
-			}
-			s.peersMu.Unlock()
-		}
+	now := time.Now()
+	s.upstream.Prune(now)
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	for _, p := range s.peers {
+		p.Prune(now)
 	}
 }
 
--- a/node/sidecar/work.go
+++ b/node/sidecar/work.go
@@ -54,6 +54,13 @@
 
 // run has the own upstream run w once there is room.
 func (s *Sidecar) run(ctx context.Context, w *work) mesh.Outcome {
+	s.mu.Lock()
+	down := s.node.UpstreamDown()
+	s.mu.Unlock()
+	if down {
+		s.logRefusal(w, mesh.ReasonUnreachable)
+		return mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonUnreachable}
+	}
 	job, d := s.offer(ctx, w)
 	if d != guard.Run {
 		reason := mesh.ReasonBusy
@@ -74,12 +81,50 @@
 	if crashed {
 		s.node.WorkCrashed(now, job)
 	}
-	s.node.WorkDone(now, job, now-started, o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest)
+	end := runEnd(ctx, o)
+	refused := o.Kind == mesh.NotRun && o.Reason == mesh.ReasonUnreachable && w.deadline-started >= dialLimit
+	if crashed || refused {
+		end = mesh.RunUnreachable
+	}
+	s.node.WorkDone(now, job, now-started, end)
 	s.drainWork(now)
 	s.mu.Unlock()
 	return o
 }
 
+// runEnd tells what an outcome says of the own upstream.
+func runEnd(ctx context.Context, o mesh.Outcome) mesh.RunEnd {
+	switch {
+	case o.Kind == mesh.Answered && o.Status < fasthttp.StatusBadRequest:
+		return mesh.RunSucceeded
+	case o.Reason == mesh.ReasonShed:
+		return mesh.RunTurnedAway
+	case ctx.Err() != nil, o.Kind == mesh.NotRun,
+		o.Kind == mesh.Answered && o.Status < fasthttp.StatusInternalServerError:
+		return mesh.RunCutShort
+	}
+	return mesh.RunFailed
+}
+
+// tryUpstream looks whether an upstream that is down takes connections again.
+func (s *Sidecar) tryUpstream() {
+	s.mu.Lock()
+	down := s.node.UpstreamDown()
+	s.mu.Unlock()
+	if !down {
+		return
+	}
+	conn, err := s.upstream.GetFresh(dialLimit, 0)
+	if err != nil {
+		return
+	}
+	s.upstream.Put(conn)
+	s.mu.Lock()
+	s.node.UpstreamBack()
+	s.mu.Unlock()
+	s.log.Info("upstream regained", field("address", s.upstream.Address()))
+}
+
 // upstreamGone looks whether the own upstream still takes connections.
 func (s *Sidecar) upstreamGone() bool {
 	conn, err := s.upstream.GetFresh(dialLimit, freshIdle)
