Send short heartbeats while the fleet is calm

Change: while every service has half of its places free and nothing is refused, heartbeats leave run times, loads by route and demand out, but for one in two seconds; the hearer keeps the last ones.

--- a/core/mesh/crash_test.go
+++ b/core/mesh/crash_test.go
@@ -111,7 +111,7 @@
 		lone.Plan(now)
 	}
 	told := map[string]bool{}
-	other.Beats(now, func(instance string, _ time.Duration) { told[instance] = true })
+	other.Beats(now, func(to Beat) { told[to.Instance] = true })
 	if !told[lone.cfg.Instance] {
 		t.Errorf("no heartbeat to the node without upstream")
 	}
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -79,7 +79,10 @@
 	// usableSlots, and backlog the slots that it takes to work off the queue in
 	// drainTime.
 	slots, backlog float64
-	runs           float64
+	// calls is the number of requests that run or wait, places the number of them
+	// that may run.
+	calls, places float64
+	runs          float64
 	// firsts and repeats sum up those of the heartbeats.
 	firsts, repeats float64
 	busy            map[uint32]float64
@@ -157,6 +160,23 @@
 }
 
 // forgetRate is the rate of requests, per second, below which a route is
+	n.pressed = n.entry.pressed()
+}
+
+// pressed tells whether a service has much of its places in use, or a part of the
+// requests is turned away.
+func (e *entry) pressed() bool {
+	for _, v := range e.services {
+		if v.calls > pressedFrom*v.places {
+			return true
+		}
+	}
+	for _, d := range e.roots {
+		if d.share < 1 {
+			return true
+		}
+	}
+	return false
 // forgotten.
 const forgetRate = 0.001
 
@@ -201,6 +221,8 @@
 	v.firsts += float64(b.Firsts)
 	v.repeats += float64(b.Repeats)
 	busy, runs := 0.0, 0.0
+	v.calls += float64(b.Load.Running + b.Load.Queued)
+	v.places += float64(b.Load.Limit)
 	for _, s := range b.Roots {
 		v.busy[s.Root] += float64(s.Busy)
 		v.visited[s.Root] += float64(s.Runs)
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -20,6 +20,12 @@
 	// maxBeats bounds the heartbeats per second that a node sends, and so gets:
 	// at some ten microseconds each they take less than a hundredth of a core.
 	maxBeats = 200
+	// wholeInterval is how often a heartbeat says everything while the fleet is
+	// calm; those between say only what changes from one moment to the next.
+	wholeInterval = 2 * time.Second
+	// pressedFrom is the share of a service's places in use from which every
+	// heartbeat says everything: shares at the entry may be needed soon.
+	pressedFrom = 0.5
 	// urgentQueue is the queue, as a share of the places, from which a node tells
 	// everyone each time.
 	urgentQueue = 0.25
@@ -33,7 +39,9 @@
 	Incarnation int64
 	// Interval is the time until the next heartbeat to the same instance.
 	Interval time.Duration
-	Leaving  bool
+	// Partial tells that Routes, Roots and Demand are left out; the last ones hold.
+	Partial bool
+	Leaving bool
 	// Version is that of the routing table in force.
 	Version route.Version
 	// Revision is the store's, up to which the node is current.
@@ -97,6 +105,9 @@
 	if b.Leaving {
 		p.leavingTill = now + leavingTime
 	}
+	if b.Partial && b.Incarnation == p.beat.Incarnation {
+		b.Routes, b.Roots, b.Demand = p.beat.Routes, p.beat.Roots, p.beat.Demand
+	}
 	p.beat, p.beatAt = b, now
 	p.hear(now, b.Load)
 	n.hearCrashes(now, instance, b.Crashes)
@@ -116,10 +127,33 @@
 	return b
 }
 
-// Beats calls each with the instances that get a heartbeat now, and with what
-// interval. A node whose upstream has a long queue tells everyone each time: that
-// is what others must know soon.
-func (n *Node) Beats(now time.Duration, each func(instance string, interval time.Duration)) {
+// Beat is one heartbeat to be sent.
+type Beat struct {
+	Instance string
+	// Interval is the time until the next one to this instance.
+	Interval time.Duration
+	// Partial tells to leave out what changes slowly.
+	Partial bool
+}
+
+// trimmed is b without what a partial heartbeat leaves out.
+func (b Heartbeat) trimmed() Heartbeat {
+	b.Partial, b.Routes, b.Roots, b.Demand = true, nil, nil, nil
+	return b
+}
+
+// For returns the heartbeat as it is sent for to.
+func (b Heartbeat) For(to Beat) Heartbeat {
+	if to.Partial {
+		b = b.trimmed()
+	}
+	b.Interval = to.Interval
+	return b
+}
+
+// Beats calls each with the heartbeats that are due. A node whose upstream has a
+// long queue tells everyone each time: that is what others must know soon.
+func (n *Node) Beats(now time.Duration, each func(Beat)) {
 	near := max(HeartbeatInterval, time.Duration(len(n.instances))*time.Second/maxBeats)
 	urgent := n.leaving || float64(n.guard.Queued()) > urgentQueue*float64(n.guard.Limit())
 	for _, instance := range n.fleet(now) {
@@ -134,8 +168,12 @@
 		if !urgent && now < p.beatSent+interval-HeartbeatInterval/2 {
 			continue
 		}
+		whole := urgent || n.pressed || p.wholeSent == 0 || now >= p.wholeSent+wholeInterval
 		p.beatSent = now
-		each(instance, interval)
+		if whole {
+			p.wholeSent = now
+		}
+		each(Beat{Instance: instance, Interval: interval, Partial: !whole})
 	}
 }
 
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -50,6 +50,8 @@
 	ownID string
 	// working holds the requests that the own upstream has, by their id.
 	working map[string]*lineage
+	// pressed is set while the fleet has little room, see pressedFrom.
+	pressed bool
 	leaving bool
 }
 
--- a/core/mesh/peer.go
+++ b/core/mesh/peer.go
@@ -27,8 +27,9 @@
 	load    Load
 	heardAt time.Duration
 	base    int
-	// beatSent is when this node last sent it a heartbeat.
-	beatSent time.Duration
+	// beatSent is when this node last sent it a heartbeat, wholeSent when it sent
+	// one that said everything.
+	beatSent, wholeSent time.Duration
 	// beatAt is when its last heartbeat came, 0 if none did.
 	beatAt      time.Duration
 	beat        Heartbeat
--- a/node/sidecar/beat.go
+++ b/node/sidecar/beat.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/netip"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -37,14 +36,14 @@
 	now := s.now()
 	s.node.Plan(now)
 	b := s.node.Heartbeat(now)
-	due := map[time.Duration][]string{}
-	s.node.Beats(now, func(instance string, interval time.Duration) {
-		due[interval] = append(due[interval], instance)
+	due := map[mesh.Beat][]string{}
+	s.node.Beats(now, func(to mesh.Beat) {
+		kind := mesh.Beat{Interval: to.Interval, Partial: to.Partial}
+		due[kind] = append(due[kind], to.Instance)
 	})
 	s.mu.Unlock()
-	for interval, instances := range due {
-		b.Interval = interval
-		s.sendHeartbeat(b, instances)
+	for kind, instances := range due {
+		s.sendHeartbeat(b.For(kind), instances)
 	}
 }
 
