Keep work in its data centre, and retest faulty upstreams

(3) Runs given up for want of time counted as faults of the upstream, so that overload made the plan see less room than there was. (4) Waiting requests expired in the order of a map, so that patterns did not repeat.

--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -110,6 +111,7 @@
 			out = append(out, id)
 		}
 	}
+	slices.Sort(out)
 	for _, id := range out {
 		g.Withdraw(id)
 	}
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -21,6 +21,9 @@
 	// loadWeight that in what one request occupies, which changes more slowly.
 	rateWeight = 0.4
 	loadWeight = 0.1
+	// partWeight is that of a smaller load seen while many requests fail: it may
+	// be all there is, and takes ten seconds to be believed.
+	partWeight = 0.02
 	// firstWeight is the weight of the first observation of a load; later ones
 	// weigh less and less.
 	firstWeight = 1.0
@@ -157,9 +160,6 @@
 	demand := n.viewDemand(now)
 	n.entry.learn(demand)
 	n.entry.share(demand)
-}
-
-// forgetRate is the rate of requests, per second, below which a route is
 	n.pressed = n.entry.pressed()
 }
 
@@ -177,6 +177,9 @@
 		}
 	}
 	return false
+}
+
+// forgetRate is the rate of requests, per second, below which a route is
 // forgotten.
 const forgetRate = 0.001
 
@@ -218,11 +221,11 @@
 }
 
 func (v *serviceView) add(b Heartbeat) {
+	v.calls += float64(b.Load.Running + b.Load.Queued)
+	v.places += float64(b.Load.Limit)
 	v.firsts += float64(b.Firsts)
 	v.repeats += float64(b.Repeats)
 	busy, runs := 0.0, 0.0
-	v.calls += float64(b.Load.Running + b.Load.Queued)
-	v.places += float64(b.Load.Limit)
 	for _, s := range b.Roots {
 		v.busy[s.Root] += float64(s.Busy)
 		v.visited[s.Root] += float64(s.Runs)
@@ -321,10 +324,10 @@
 		l = &learnt{}
 		m[key] = l
 	}
+	weight := max(loadWeight, firstWeight-loadWeight*float64(l.seen)/2)
 	if !whole && value < l.value {
-		return
+		weight = partWeight
 	}
-	weight := max(loadWeight, firstWeight-loadWeight*float64(l.seen)/2)
 	l.value += weight * (value - l.value)
 	l.seen++
 }
--- a/core/mesh/faults.go
+++ b/core/mesh/faults.go
@@ -15,6 +15,9 @@
 	idleDecay = 0.973
 	// mostFaults is the share of faults up to which an upstream counts as any use.
 	mostFaults = 0.98
+	// hungFactor is how many times the mean run time a run takes that is given up
+	// for the upstream's fault.
+	hungFactor = 3
 	// leastUse is the part of what faulty upstreams can do that requests are let
 	// in for, however many of their calls have to be repeated.
 	leastUse = 0.1
@@ -31,6 +34,8 @@
 	RunTurnedAway
 	// RunFailed is a failure, or no answer.
 	RunFailed
+	// RunExpired is a run without an answer when its time was over.
+	RunExpired
 	// RunUnreachable is an upstream that takes no connections.
 	RunUnreachable
 	// RunCutShort is an end that says nothing of the upstream.
@@ -46,19 +51,21 @@
 	down bool
 }
 
-func (f *faults) learn(end RunEnd, l *lineage) {
+func (f *faults) learn(end RunEnd, ownDoing bool) {
 	fault := 0.0
-	switch {
-	case end == RunCutShort:
-		return
-	case end == RunTurnedAway:
+	switch end {
+	case RunSucceeded:
+	case RunTurnedAway:
+		fault = 1
+	case RunFailed, RunExpired:
+		if !ownDoing {
+			return
+		}
 		fault = 1
-	case end == RunUnreachable:
+	case RunUnreachable:
 		f.down, f.share = true, 1
 		return
-	case end == RunFailed && (l == nil || l.open == 0 && l.failed == 0):
-		fault = 1
-	case end == RunFailed:
+	default:
 		return
 	}
 	f.runs++
@@ -107,7 +114,13 @@
 
 // endRun takes in what the end of a run says of the own upstream.
 func (n *Node) endRun(w Work, took time.Duration, end RunEnd) {
-	n.faults.learn(end, n.working[w.Name])
+	l := n.working[w.Name]
+	ownDoing := l == nil || l.open == 0 && l.failed == 0
+	if end == RunExpired {
+		// One that began late has little time, whatever the upstream does.
+		ownDoing = ownDoing && took > hungFactor*n.runs.of(w.Route)
+	}
+	n.faults.learn(end, ownDoing)
 	slow := end != RunTurnedAway && end != RunUnreachable && took > n.runs.of(w.Route)
 	if end == RunSucceeded || slow {
 		// A run that failed or was given up would have taken at least as long.
--- a/core/mesh/faults_test.go
+++ b/core/mesh/faults_test.go
@@ -23,6 +23,7 @@
 		{"turned away", RunTurnedAway, nil, true},
 		{"failed by itself", RunFailed, nil, true},
 		{"cut short", RunCutShort, nil, false},
+		{"given up soon", RunExpired, nil, false},
 		{"failed after a call that failed", RunFailed, func(n *Node) {
 			c, _ := n.Arrive(0, Arrival{ID: "w.1", Host: "h", Path: "/b/1", Parent: "w"})
 			n.Ended(0, c, Outcome{Kind: Unknown, Reason: ReasonLost, Reached: true})
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -11,15 +11,23 @@
 const (
 	// remotePenalty is what another data centre has to be better by, as a share:
 	// traffic between data centres costs time and money.
-	remotePenalty = 0.5
+	remotePenalty = 1.5
 	// queueingFrom is the utilisation from which a target counts as slower.
 	queueingFrom = 0.5
 	// queueingCost is how much slower a full target counts than an idle one.
 	queueingCost = 2
 	// faultCost is how much slower an upstream counts that fails every second
-	// request: a failed call mostly takes a repeat, which are few, or the whole
-	// request with it.
-	faultCost = 4
+	// call: a failed call takes a repeat, which are few, or the whole request that
+	// it is made for with it. A caller's own request takes only itself along, so
+	// that counts soleFaultCost.
+	faultCost     = 4
+	soleFaultCost = 1
+	// retestShare is the share of repeatable calls that go to a faulty upstream all
+	// the same, so that its recovery is seen within a second or two.
+	retestShare = 0.02
+	// retestSlowest is how many times the mean run time of its service such an
+	// upstream may take.
+	retestSlowest = 1.5
 	// coldCost is how much slower an upstream counts that has just started.
 	coldCost = 2
 	// unknownSlots stands for the limit of an instance that has not told its own.
@@ -50,6 +58,9 @@
 	if u, p := n.probe(now, c, list); u != nil {
 		return u, p
 	}
+	if u, p := n.retest(now, c, list); u != nil {
+		return u, p
+	}
 	var best choice
 	for _, accept := range []func(*registry.Upstream, *peer) bool{
 		func(u *registry.Upstream, p *peer) bool { return n.healthy(now, c, u, p) },
@@ -116,6 +127,31 @@
 	return nil, nil
 }
 
+// retest returns, for a few calls, an upstream that failed much of late and that
+// has room.
+func (n *Node) retest(now time.Duration, c *Call, list []*registry.Upstream) (*registry.Upstream, *peer) {
+	if len(list) == 0 || !c.Route.Idempotent || len(c.tried) > 0 || n.random.Float64() >= retestShare {
+		return nil, nil
+	}
+	start := n.random.IntN(len(list))
+	for i := range list {
+		u := list[(start+i)%len(list)]
+		p := n.peer(u.Instance)
+		f := n.faultShare(p)
+		faulty := f >= faultyFrom && f < 1
+		if faulty && n.healthy(now, c, u, p) && n.utilisation(p) <= 1 && n.quick(c, p) {
+			return u, p
+		}
+	}
+	return nil, nil
+}
+
+// quick tells whether an upstream does not take much longer than others of its service:
+// a call that it fails then costs little time.
+func (n *Node) quick(c *Call, p *peer) bool {
+	return n.told(c.RouteID, p) <= time.Duration(retestSlowest*float64(n.meanRun(c.RouteID, c.Service)))
+}
+
 // usable tells whether u may get c at all.
 func (n *Node) usable(now time.Duration, c *Call, u *registry.Upstream, p *peer) bool {
 	return !u.Draining && !p.leaving(now) && !slices.Contains(c.tried, u.Instance)
@@ -133,16 +169,26 @@
 		cost *= 1 + queueingCost*(full-queueingFrom)
 	}
 	f := min(n.faultShare(p), mostFaults)
-	cost *= 1 + faultCost*f/(1-f)
+	weight := float64(soleFaultCost)
+	if c.Inner {
+		weight = faultCost
+	}
+	cost *= 1 + weight*f/(1-f)
 	if now < u.ColdUntil {
 		cost *= coldCost
 	}
-	if u.DataCentre != n.cfg.DataCentre {
+	if u.DataCentre != n.cfg.DataCentre && !n.untried(c, u, p) {
 		cost *= 1 + remotePenalty
 	}
 	return cost
 }
 
+// untried tells whether an upstream that was heard of has not run any request of
+// c's route yet: it is to get some from everywhere, so that it is known.
+func (n *Node) untried(c *Call, u *registry.Upstream, p *peer) bool {
+	return p.beatAt > 0 && n.told(c.RouteID, p) == 0
+}
+
 // utilisation is the share of the limit in use with one more request.
 func (n *Node) utilisation(p *peer) float64 {
 	load := p.load
--- a/core/mesh/runtime.go
+++ b/core/mesh/runtime.go
@@ -46,6 +46,12 @@
 	if d := n.told(id, p); d > 0 {
 		return d
 	}
+	return n.meanRun(id, service)
+}
+
+// meanRun returns the mean run time of a route at the instances of a service that
+// told one.
+func (n *Node) meanRun(id uint32, service string) time.Duration {
 	sum, count := time.Duration(0), time.Duration(0)
 	for _, u := range n.registry.Service(service) {
 		if other := n.peers[u.Instance]; other != nil {
--- a/harness/pattern/node.go
+++ b/harness/pattern/node.go
@@ -97,8 +97,11 @@
 		}
 		ended = true
 		how := mesh.RunSucceeded
-		if status >= 500 {
+		switch status {
+		case 500:
 			how = mesh.RunFailed
+		case 504:
+			how = mesh.RunExpired
 		}
 		n.mesh.WorkDone(n.w.now, job, n.w.now-began, how)
 		n.drain()
--- a/node/sidecar/work.go
+++ b/node/sidecar/work.go
@@ -99,6 +99,9 @@
 		return mesh.RunSucceeded
 	case o.Reason == mesh.ReasonShed:
 		return mesh.RunTurnedAway
+	case o.Kind == mesh.Unknown && o.Reason == mesh.ReasonDeadline,
+		o.Kind == mesh.Answered && o.Status == fasthttp.StatusGatewayTimeout:
+		return mesh.RunExpired
 	case ctx.Err() != nil, o.Kind == mesh.NotRun,
 		o.Kind == mesh.Answered && o.Status < fasthttp.StatusInternalServerError:
 		return mesh.RunCutShort
