Count faults over the last second, and keep trying where that serves more

Cause: with three of three upstreams of the last service turning 40 % away, the plan let in a tenth of everything, single runs among it that mostly do well, and saw the end of the fault two seconds late, as few calls were left to show it.

Change: faults are counted over about a second instead of the last twenty runs; requests that are one run, and those that may be tried again and have a chance of a tenth or more, are let in for what faulty upstreams can do; a fifth of it, not a tenth, for all others. One of twenty repeatable calls retests a faulty upstream. All but the most important requests stop repeating at half of the bound.

--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -20,8 +20,10 @@
 	inducedShare = 0.15
 	// stopShare is the part of the bounds from which the repeats that arrive stop
 	// all further ones, wherever they come from. The rest covers those under way
-	// while the counts are some heartbeats old.
-	stopShare = 0.75
+	// while the counts are some heartbeats old. minorStopShare is that for all but
+	// the most important requests.
+	stopShare      = 0.75
+	minorStopShare = 0.5
 	// leastSeen is the number of plans after which it is known what requests lead
 	// to: those that began first have made most of their calls by then.
 	leastSeen = 8
@@ -130,14 +132,18 @@
 }
 
 // spent tells whether so many repeats arrived at a service, as its nodes tell,
-// that cost more are too many.
-func (n *Node) spent(service string, cost float64) bool {
+// that cost more for c are too many.
+func (n *Node) spent(c *Call, service string, cost float64) bool {
 	v := n.entry.services[service]
 	if v == nil {
 		return false
 	}
 	b := n.budget.bounds
-	return v.repeats+cost > stopShare*(b.Ratio*v.firsts+b.Slack)
+	stop := minorStopShare
+	if c.Rank.Priority == 0 {
+		stop = stopShare
+	}
+	return v.repeats+cost > stop*(b.Ratio*v.firsts+b.Slack)
 }
 
 // direct returns the repeats of requests to a service that this node may make
@@ -166,7 +172,7 @@
 // repeats one.
 func (n *Node) takeRepeat(now time.Duration, c *Call) bool {
 	window := n.budget.bounds.Window
-	if n.spent(c.Service, 1) || n.budget.service(c.Service).direct.sum(now, window)+1 > n.direct(now, c.Service) {
+	if n.spent(c, c.Service, 1) || n.budget.service(c.Service).direct.sum(now, window)+1 > n.direct(now, c.Service) {
 		return false
 	}
 	costs, known := n.inducedCosts(c)
@@ -174,7 +180,7 @@
 		return false
 	}
 	for service, cost := range costs {
-		if n.spent(service, cost) || n.budget.service(service).induced.sum(now, window)+cost > n.induced(service) {
+		if n.spent(c, service, cost) || n.budget.service(service).induced.sum(now, window)+cost > n.induced(service) {
 			return false
 		}
 	}
--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -44,7 +45,8 @@
 
 // rootDemand is what callers at this node ask for on one route.
 type rootDemand struct {
-	priority int
+	priority   int
+	repeatable bool
 	// offered, admitted and served count requests in this interval; the rates are
 	// per second, smoothed.
 	offered, admitted, served             int
@@ -82,6 +84,9 @@
 	// usableSlots, and backlog the slots that it takes to work off the queue in
 	// drainTime.
 	slots, backlog float64
+	// most is the slots for requests that may fail, see room, and faults the mean
+	// share of runs that fail there.
+	most, faults float64
 	// calls is the number of requests that run or wait, places the number of them
 	// that may run.
 	calls, places float64
@@ -107,7 +112,7 @@
 		e.roots[id] = d
 	}
 	if d != nil {
-		d.priority = r.Priority
+		d.priority, d.repeatable = r.Priority, r.Idempotent
 	}
 	return d
 }
@@ -196,7 +201,8 @@
 			}
 			v.lost = v.lost && n.fellSilent(now, u.Instance)
 		}
-		v.slots = usableSlots(offers, directShare*n.budget.bounds.Ratio)
+		v.slots, v.most = usableSlots(offers, directShare*n.budget.bounds.Ratio)
+		v.faults = meanFaults(offers)
 		views[name] = v
 	})
 	return views
@@ -243,6 +249,7 @@
 type fleetDemand struct {
 	id                        uint32
 	priority                  int
+	repeatable                bool
 	offered, admitted, served float64
 }
 
@@ -258,7 +265,7 @@
 		for _, s := range b.Demand {
 			d := sums[s.Root]
 			if d == nil {
-				d = &fleetDemand{id: s.Root, priority: int(s.Priority)}
+				d = &fleetDemand{id: s.Root, priority: int(s.Priority), repeatable: s.Repeatable}
 				sums[s.Root] = d
 			}
 			d.offered += float64(s.Offered)
@@ -336,9 +343,9 @@
 // leads to, after the more important routes. Of equally important ones those
 // that occupy less come first: that serves the most callers.
 func (e *entry) share(demand []fleetDemand) {
-	rooms := map[string]float64{}
+	rooms := map[string]room{}
 	for name, v := range e.services {
-		rooms[name] = planShare*v.slots - v.backlog
+		rooms[name] = room{firm: planShare*v.slots - v.backlog, loose: planShare * (v.most - v.slots)}
 	}
 	slices.SortStableFunc(demand, func(a, b fleetDemand) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(e.footprint(a.id), e.footprint(b.id)))
@@ -358,20 +365,65 @@
 // fit returns the part of d that there is room for and takes that room. A
 // service that nobody was heard of yet bounds nothing; one whose upstreams all
 // fell silent has no room.
-func (e *entry) fit(d fleetDemand, rooms map[string]float64) float64 {
+func (e *entry) fit(d fleetDemand, rooms map[string]room) float64 {
+	loose := e.sole(d.id) || d.repeatable && e.chance(d.id) >= leastChance
 	part := 1.0
 	for name, v := range e.services {
 		wanted := d.offered * e.loads[loadKey{d.id, name}].of()
 		if (v.slots > 0 || v.lost) && wanted > 0 {
-			part = min(part, max(rooms[name]/wanted, 0))
+			part = min(part, max(rooms[name].forUse(loose)/wanted, 0))
 		}
 	}
 	for name := range e.services {
-		rooms[name] -= part * d.offered * e.loads[loadKey{d.id, name}].of()
+		rooms[name] = rooms[name].without(part*d.offered*e.loads[loadKey{d.id, name}].of(), loose)
 	}
 	return part
 }
 
+// chance is that of a request to end well if none of its calls is repeated.
+func (e *entry) chance(root uint32) float64 {
+	chance := 1.0
+	for name, v := range e.services {
+		chance *= math.Pow(1-v.faults, e.visits[loadKey{root, name}].of())
+	}
+	return chance
+}
+
+// room is the slots of a service that are not planned for yet: firm ones, and
+// loose ones of upstreams that fail much. Loose ones are of use to requests that
+// are one run only, or may be tried again and have a fair chance; others would
+// mostly fail there after much work, and may leave open whether they ran.
+type room struct{ firm, loose float64 }
+
+func (r room) forUse(loose bool) float64 {
+	if loose {
+		return r.firm + r.loose
+	}
+	return r.firm
+}
+
+// without takes slots off.
+func (r room) without(slots float64, loose bool) room {
+	if loose {
+		own := min(slots, r.loose)
+		r.loose -= own
+		slots -= own
+	}
+	r.firm -= slots
+	return r
+}
+
+// sole tells whether the requests of a route run at one service only.
+func (e *entry) sole(root uint32) bool {
+	services := 0
+	for name := range e.services {
+		if e.visits[loadKey{root, name}].of() > 0 {
+			services++
+		}
+	}
+	return services == 1
+}
+
 // footprint is the largest part of any service that one request a second of a
 // route occupies.
 func (e *entry) footprint(root uint32) float64 {
@@ -393,7 +445,7 @@
 	out := make([]DemandStat, 0, len(e.roots))
 	for id, d := range e.roots {
 		out = append(out, DemandStat{
-			Root: id, Priority: int32(d.priority), Offered: float32(d.offeredRate), Admitted: float32(d.admittedRate),
+			Root: id, Priority: int32(d.priority), Repeatable: d.repeatable, Offered: float32(d.offeredRate), Admitted: float32(d.admittedRate),
 			Served: float32(d.servedRate),
 		})
 	}
--- a/core/mesh/faults.go
+++ b/core/mesh/faults.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// faultWeight is the weight of one run in the share of faults.
-	faultWeight = 0.05
-	// idleDecay is what remains of the share after an interval without a run, so
+	// faultMemory is what remains of the counts of runs after an interval: half
+	// after 0.6 s, as faults come and go within seconds. leastRuns is the number
+	// of them that says something.
+	faultMemory = 0.8
+	leastRuns   = 3
+	// idleDecay is what remains of the share after an interval with hardly a run, so
 	// that an upstream that nobody sends to any more is tried again: half after
 	// five seconds.
 	idleDecay = 0.973
@@ -20,7 +23,10 @@
 	hungFactor = 3
 	// leastUse is the part of what faulty upstreams can do that requests are let
 	// in for, however many of their calls have to be repeated.
-	leastUse = 0.1
+	leastUse = 0.2
+	// leastChance is the chance to end well without repeats from which requests
+	// that may be tried again are let in for faulty upstreams.
+	leastChance = 0.1
 )
 
 // RunEnd is how a request ended at the own upstream.
@@ -45,8 +51,9 @@
 // faults is the share of runs that the own upstream failed by itself, not
 // because one of its calls failed or took long.
 type faults struct {
-	share float64
-	runs  int
+	// bad and runs count runs, older ones less.
+	bad, runs float64
+	share     float64
 	// down is set while the upstream takes no connections.
 	down bool
 }
@@ -70,15 +77,19 @@
 	}
 	f.runs++
 	f.down = false
-	f.share += faultWeight * (fault - f.share)
+	f.bad += fault
+	if f.runs >= leastRuns {
+		f.share = f.bad / f.runs
+	}
 }
 
 // close ends an interval.
 func (f *faults) close() {
-	if f.runs == 0 && !f.down {
+	if f.runs < leastRuns && !f.down {
 		f.share *= idleDecay
 	}
-	f.runs = 0
+	f.bad *= faultMemory
+	f.runs *= faultMemory
 }
 
 // faultShare is the share of faults of an instance's upstream, as it told.
@@ -92,12 +103,14 @@
 // offer is what one upstream has to give.
 type offer struct{ slots, faults float64 }
 
-// usableSlots returns the slots that admitted requests can fill. Requests that an
-// upstream turns away or fails have to be repeated elsewhere, and repeats are
-// bounded to a share of all: of faulty upstreams as much counts as that allows.
-func usableSlots(offers []offer, repeats float64) float64 {
+// usableSlots returns the slots that admitted requests can fill: most of them if
+// each request can fail for itself, fewer if one failed call fails a request that
+// makes many. Then what an upstream turns away or fails has to be repeated
+// elsewhere, and repeats are bounded to a share of all: of faulty upstreams as much
+// counts as that allows.
+func usableSlots(offers []offer, repeats float64) (usable, most float64) {
 	slices.SortFunc(offers, func(a, b offer) int { return cmp.Compare(a.faults, b.faults) })
-	sum, most, again := 0.0, 0.0, 0.0
+	sum, again := 0.0, 0.0
 	for _, o := range offers {
 		f := min(o.faults, mostFaults)
 		most += o.slots * (1 - f)
@@ -109,7 +122,20 @@
 		sum += fits
 		again += fits * perServed
 	}
-	return max(sum, leastUse*most)
+	return max(sum, leastUse*most), max(sum, most)
+}
+
+// meanFaults is the share of faults over all slots.
+func meanFaults(offers []offer) float64 {
+	slots, bad := 0.0, 0.0
+	for _, o := range offers {
+		slots += o.slots
+		bad += o.slots * min(o.faults, 1)
+	}
+	if slots == 0 {
+		return 0
+	}
+	return bad / slots
 }
 
 // endRun takes in what the end of a run says of the own upstream.
--- a/core/mesh/faults_test.go
+++ b/core/mesh/faults_test.go
@@ -43,6 +43,11 @@
 			c.calls(n)
 		}
 		n.WorkDone(0, w, time.Millisecond, c.end)
+		for i := range uint64(leastRuns) {
+			other := Work{ID: 10 + i, Deadline: time.Hour}
+			n.Offer(0, other)
+			n.WorkDone(0, other, time.Millisecond, RunSucceeded)
+		}
 		if got := n.Heartbeat(0).Faults > 0; got != c.fault {
 			t.Errorf("%s: fault %v, want %v", c.name, got, c.fault)
 		}
@@ -64,14 +69,14 @@
 			all += o.slots
 			offers = append(offers, o)
 		}
-		got := usableSlots(offers, repeats)
-		if got < sound-1e-9 || got > all+1e-9 {
+		got, most := usableSlots(offers, repeats)
+		if got < sound-1e-9 || got > most+1e-9 || most > all+1e-9 {
 			t.Fatalf("%v usable of %v, %v of them sound", got, all, sound)
 		}
 	})
 	// Of two equal upstreams the second turns half away: each of its answers takes
 	// one repeat, and x of them are allowed 0.2 x (10 + x).
-	if got := usableSlots([]offer{{10, 0.5}, {10, 0}}, 0.2); math.Abs(got-12.5) > 1e-9 {
+	if got, _ := usableSlots([]offer{{10, 0.5}, {10, 0}}, 0.2); math.Abs(got-12.5) > 1e-9 {
 		t.Errorf("%v usable, want 12.5", got)
 	}
 }
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -87,6 +87,8 @@
 	// Served those that succeeded.
 	Offered  float32
 	Admitted float32
+	// Repeatable tells that requests of the route may run more than once.
+	Repeatable bool
 	Served   float32
 }
 
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -24,7 +24,7 @@
 	soleFaultCost = 1
 	// retestShare is the share of repeatable calls that go to a faulty upstream all
 	// the same, so that its recovery is seen within a second or two.
-	retestShare = 0.02
+	retestShare = 0.05
 	// retestSlowest is how many times the mean run time of its service such an
 	// upstream may take.
 	retestSlowest = 1.5
