Let two nodes of each data centre read the store

Change: the two best nodes of a data centre that are in touch with the store read it; the others follow them. Heartbeats tell who reads, up to which revision, and a digest of the upstreams known; a follower fetches what changed since its own revision, and the list of those present, from whoever knows most. A reader that falls silent or loses the store is replaced by the next one, which goes on from the revision it had learnt. A listing that is older than what a node knows takes nothing away.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -46,8 +46,12 @@
 	Version route.Version
 	// Revision is the store's, up to which the node is current.
 	Revision uint64
-	Service  string
-	Load     Load
+	// Digest names the set of upstreams known, and Reads tells that the node is in
+	// touch with the store.
+	Digest  uint32
+	Reads   bool
+	Service string
+	Load    Load
 	// Faults is the share of runs that the upstream failed by itself.
 	Faults float32
 	// Firsts and Repeats are the arrivals at the upstream within the window of
@@ -83,12 +87,12 @@
 	_        struct{} `cbor:",toarray"`
 	Root     uint32
 	Priority int32
+	// Repeatable tells that requests of the route may run more than once.
+	Repeatable bool
 	// Offered is the requests per second, Admitted those that were let in, and
 	// Served those that succeeded.
 	Offered  float32
 	Admitted float32
-	// Repeatable tells that requests of the route may run more than once.
-	Repeatable bool
 	Served   float32
 }
 
@@ -119,7 +123,8 @@
 func (n *Node) Heartbeat(now time.Duration) Heartbeat {
 	window := n.budget.bounds.Window
 	b := Heartbeat{
-		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(), Service: n.cfg.Service, Load: n.Load(), Faults: float32(n.faults.share),
+		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(),
+		Digest: n.digest, Reads: n.reads(now), Service: n.cfg.Service, Load: n.Load(), Faults: float32(n.faults.share),
 		Firsts: float32(n.arrivals.firsts.sum(now, window)), Repeats: float32(n.arrivals.repeats.sum(now, window)),
 		Routes: n.runs.stats(), Roots: n.usage.stats(), Demand: n.entry.stats(), Crashes: n.crashStats(),
 	}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -50,6 +50,11 @@
 	ownID string
 	// working holds the requests that the own upstream has, by their id.
 	working map[string]*lineage
+	// storeAt is when the store last answered this node, 0 if it does not, digest
+	// names the upstreams known, and followed those that were last taken from
+	// another node.
+	storeAt          time.Duration
+	digest, followed uint32
 	// pressed is set while the fleet has little room, see pressedFrom.
 	pressed bool
 	leaving bool
@@ -89,6 +94,7 @@
 // Registered takes in a change of the Registry.
 func (n *Node) Registered() {
 	clear(n.instances)
+	n.digest = digestOf(n.registry)
 	n.registry.Services(func(_ string, list []*registry.Upstream) {
 		for _, u := range list {
 			n.instances[u.Instance] = u.DataCentre
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -84,13 +84,26 @@
 // InOutage tells whether the store does not answer.
 func (r *Registry) InOutage() bool { return r.outage }
 
-// Adopt takes in a complete listing from another node, which the store answers.
-// Entries it lacks are gone.
-func (r *Registry) Adopt(now time.Duration, list []Change, revision uint64) {
-	outage, settled := r.outage, r.settledAt
-	r.outage, r.settledAt = false, 0
-	r.Replace(now, list, revision)
-	r.outage, r.settledAt = outage, settled
+// Adopt takes in what another node knows: what changed since this one was
+// current, and the IDs of all entries. It returns those that are gone.
+func (r *Registry) Adopt(now time.Duration, changed []Change, present []string, revision uint64) (gone []string) {
+	for _, c := range changed {
+		r.take(now, c)
+	}
+	listed := make(map[string]bool, len(present))
+	for _, id := range present {
+		listed[id] = true
+	}
+	for id := range r.entries {
+		if !listed[id] {
+			delete(r.entries, id)
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	r.revision = max(r.revision, revision)
+	r.index()
+	return gone
 }
 
 // Answering tells that the store answers again.
@@ -146,7 +159,9 @@
 	if r.entries[c.ID] == nil && len(r.entries) >= maxUpstreams {
 		return
 	}
-	r.entries[c.ID] = &entry{Upstream: *c.Upstream}
+	e := &entry{Upstream: *c.Upstream}
+	e.Revision = max(e.Revision, c.Revision)
+	r.entries[c.ID] = e
 }
 
 func (r *Registry) remove(now time.Duration, id string) {
@@ -223,6 +238,13 @@
 	}
 }
 
+// Each calls do with every entry, in no particular order.
+func (r *Registry) Each(do func(*Upstream)) {
+	for _, e := range r.entries {
+		do(&e.Upstream)
+	}
+}
+
 // Get returns the upstream of the given ID, or nil.
 func (r *Registry) Get(id string) *Upstream {
 	if e := r.entries[id]; e != nil {
@@ -234,5 +256,8 @@
 // Len returns the number of upstreams known.
 func (r *Registry) Len() int { return len(r.entries) }
 
+// Current takes in that everything up to a revision of the store is known.
+func (r *Registry) Current(revision uint64) { r.revision = max(r.revision, revision) }
+
 // Revision returns the store's revision up to which the Registry is current.
 func (r *Registry) Revision() uint64 { return r.revision }
--- a/node/sidecar/catchup.go
+++ b/node/sidecar/catchup.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/mesh"
+	"github.com/shallotspool/shallotspool/core/route"
 	"github.com/shallotspool/shallotspool/node/internal/listener"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
 )
@@ -18,6 +19,9 @@
 const (
 	// statePath is where a node tells others what it knows from the store.
 	statePath = "/shallot/state"
+	// versionArg and revisionArg are what the asking node knows.
+	versionArg  = "version"
+	revisionArg = "revision"
 	// catchUpInterval is how often a node without the store looks for one that
 	// knows more: a few times within the second that callers wait.
 	catchUpInterval = 300 * time.Millisecond
@@ -35,32 +39,32 @@
 func (s *Sidecar) catchUp() {
 	s.mu.Lock()
 	instance, behind := s.node.AskPeer(s.now())
+	known := s.node.Known()
 	s.mu.Unlock()
 	if behind {
-		s.catchUpFrom(instance)
+		s.catchUpFrom(instance, known)
 	}
 }
 
-func (s *Sidecar) catchUpFrom(instance string) {
-	state, err := s.fetchState(instance)
+func (s *Sidecar) catchUpFrom(instance string, known mesh.Known) {
+	state, err := s.fetchState(instance, known)
 	if err != nil {
 		s.log.Info("state not fetched", field("instance", instance), field("error", err))
 		return
 	}
 	s.mu.Lock()
-	newer := s.node.CatchUp(s.now(), state)
+	changes := s.node.CatchUp(s.now(), state)
 	s.mu.Unlock()
-	if newer {
-		version := uint64(0)
-		if state.Table != nil {
-			version = uint64(state.Table.Version)
-		}
-		s.log.Info("state taken from node", field("instance", instance), field("version", version),
-			field("upstreams", len(state.Upstreams)), field("revision", state.Revision))
+	if changes.Table != nil {
+		s.log.Info("table in force", field("version", changes.Table.Version), field("routes", len(changes.Table.Routes)),
+			field("revision", state.Revision), field("from", instance))
+	}
+	for _, u := range changes.Upstreams {
+		s.logUpstream(u, instance)
 	}
 }
 
-func (s *Sidecar) fetchState(instance string) (state mesh.State, err error) {
+func (s *Sidecar) fetchState(instance string, known mesh.Known) (state mesh.State, err error) {
 	p := s.peerPool(instance)
 	conn, err := p.Get(dialLimit)
 	if err != nil {
@@ -70,7 +74,10 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetHost(p.Address())
-	req.Header.SetRequestURI(statePath)
+	var args fasthttp.Args
+	args.SetUint(versionArg, int(known.Version))
+	args.SetUint(revisionArg, int(known.Revision))
+	req.Header.SetRequestURI(statePath + "?" + args.String())
 	_ = conn.SetDeadline(time.Now().Add(stateLimit))
 	if err := conn.ExchangeOn(req, resp, pool.Terms{MaxBody: maxState}); err != nil {
 		p.Discard(conn)
@@ -92,13 +99,21 @@
 // isStateRequest tells a node's question for the state from a request to run.
 func isStateRequest(x *listener.Exchange) bool {
 	h := &x.Request.Header
-	return len(h.Peek(hopRank)) == 0 && bytes.Equal(h.RequestURI(), []byte(statePath))
+	return len(h.Peek(hopRank)) == 0 && bytes.HasPrefix(h.RequestURI(), []byte(statePath))
 }
 
 // serveState tells another node what this one knows from the store.
 func (s *Sidecar) serveState(_ context.Context, x *listener.Exchange) {
+	args := x.Request.URI().QueryArgs()
+	version, err1 := args.GetUint(versionArg)
+	revision, err2 := args.GetUint(revisionArg)
+	if err1 != nil || err2 != nil {
+		s.log.Warn("bad question from node", field("address", x.Remote), field("error", errors.CombineErrors(err1, err2)))
+		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
-	state := s.node.Snapshot()
+	state := s.node.Snapshot(s.now(), mesh.Known{Version: route.Version(version), Revision: uint64(revision)})
 	s.mu.Unlock()
 	text, err := cbor.Marshal(state)
 	if err != nil {
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -40,6 +40,8 @@
 	changes []store.Changes
 	wake    chan struct{}
 	down    bool
+	// forgets makes the next watch find its history gone.
+	forgets bool
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{wake: make(chan struct{})} }
@@ -73,6 +75,11 @@
 		f.mu.Unlock()
 		return store.Changes{}, store.ErrRead
 	}
+	if f.forgets {
+		f.forgets = false
+		f.mu.Unlock()
+		return store.Changes{}, store.ErrHistory
+	}
 	if int(after) < len(f.changes) {
 		defer f.mu.Unlock()
 		return f.changes[after], nil
--- a/node/sidecar/path_test.go
+++ b/node/sidecar/path_test.go
@@ -215,3 +215,22 @@
 			strings.Contains(f.logs.String(), "revision=5")
 	})
 }
+
+// TestOldListingTakesNothingAway: a listing that is older than what a node knows
+// removes none of it; changes after it still count.
+func TestOldListingTakesNothingAway(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep)
+	f.store.mu.Lock()
+	f.store.forgets = true
+	f.store.mu.Unlock()
+	f.eventually("history gone", func() bool { return strings.Contains(f.logs.String(), "store history gone") })
+	c := f.caller(front)
+	for range 20 {
+		if got := c.ask("GET", "/read/1", "r1"); got.status != 200 {
+			t.Fatalf("%+v\n%s", got, f.logs)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.register("deep", deep, true)
+	f.eventually("draining known", func() bool { return strings.Count(f.logs.String(), "draining=true") == 2 })
+}
