Have the listing test wait for what it tests

Cause: only one node got the old listing, and what it lacks is kept for two seconds after the first read, so the test passed without the check in takeChanges. Change: both nodes find their history gone, and the caller asks until after those two seconds. Measured: the test fails without the check (503 after 2.0 s) and passes with it.

--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -40,8 +40,8 @@
 	changes []store.Changes
 	wake    chan struct{}
 	down    bool
-	// forgets makes the next watch find its history gone.
-	forgets bool
+	// forgets is the number of watches that find their history gone next.
+	forgets int
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{wake: make(chan struct{})} }
@@ -75,8 +75,8 @@
 		f.mu.Unlock()
 		return store.Changes{}, store.ErrRead
 	}
-	if f.forgets {
-		f.forgets = false
+	if f.forgets > 0 {
+		f.forgets--
 		f.mu.Unlock()
 		return store.Changes{}, store.ErrHistory
 	}
--- a/node/sidecar/path_test.go
+++ b/node/sidecar/path_test.go
@@ -221,11 +221,11 @@
 func TestOldListingTakesNothingAway(t *testing.T) {
 	f := newFleet(t, "front/"+front, "deep/"+deep)
 	f.store.mu.Lock()
-	f.store.forgets = true
+	f.store.forgets = 2
 	f.store.mu.Unlock()
-	f.eventually("history gone", func() bool { return strings.Contains(f.logs.String(), "store history gone") })
+	f.eventually("history gone", func() bool { return strings.Count(f.logs.String(), "store history gone") == 2 })
 	c := f.caller(front)
-	for range 20 {
+	for end := time.Now().Add(registry.ReturnGrace + time.Second); time.Now().Before(end); {
 		if got := c.ask("GET", "/read/1", "r1"); got.status != 200 {
 			t.Fatalf("%+v\n%s", got, f.logs)
 		}
