Give no grace to what leaves when a node takes over reading the store

The two readers of a data centre were cut off, a follower took over, and its following counted as an outage of the store: after an outage an entry that is gone may come back for two seconds.

Change: following is a state of its own. A node that takes over gives that grace only if another reader of its data centre is heard to have lost the store.

Measured: TestSuccessorRemovesAtOnce fails with the old state and passes.

--- a/core/mesh/catchup.go
+++ b/core/mesh/catchup.go
@@ -58,7 +58,7 @@
 // AskPeer returns an instance that knows more of the store than this node, which
 // does not read it; ok is false if there is none, or no need.
 func (n *Node) AskPeer(now time.Duration) (instance string, ok bool) {
-	if !n.registry.InOutage() {
+	if !n.learnsFromPeers() {
 		return "", false
 	}
 	k := n.Known()
@@ -86,7 +86,7 @@
 // CatchUp takes in what another node knows of the store, as far as it is newer,
 // and returns what that was.
 func (n *Node) CatchUp(now time.Duration, s State) (news News) {
-	if !n.registry.InOutage() {
+	if !n.learnsFromPeers() {
 		return news
 	}
 	if s.Table != nil && n.SetTable(s.Table) {
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -54,6 +54,7 @@
 	// names the upstreams known, and followed those that were last taken from
 	// another node.
 	storeAt          time.Duration
+	following        bool
 	digest, followed uint32
 	// pressed is set while the fleet has little room, see pressedFrom.
 	pressed bool
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -28,6 +28,29 @@
 	n.registry.Outage()
 }
 
+// Follow takes in that this node leaves reading the store to others.
+func (n *Node) Follow() {
+	n.storeAt, n.following = 0, true
+	n.registry.Followed()
+}
+
+// Resume takes in that this node reads the store again. What lapsed while the
+// store was away may still come back; that is so if another reader lost it, and
+// not if that reader is gone itself.
+func (n *Node) Resume(now time.Duration) {
+	n.following = false
+	for instance, dataCentre := range n.instances {
+		p := n.peers[instance]
+		if dataCentre == n.cfg.DataCentre && p != nil && p.beatAt > 0 && !p.silent(now) && p.beat.Lost {
+			n.registry.Outage()
+			return
+		}
+	}
+}
+
+// learnsFromPeers tells whether this node does not read the store.
+func (n *Node) learnsFromPeers() bool { return n.following || n.registry.InOutage() }
+
 // reads tells whether this node is in touch with the store.
 func (n *Node) reads(now time.Duration) bool { return n.storeAt > 0 && now-n.storeAt < storeFresh }
 
--- a/core/mesh/readers_test.go
+++ b/core/mesh/readers_test.go
@@ -15,10 +15,12 @@
 	now   time.Duration
 	// cut are the nodes that the store does not answer.
 	cut map[*Node]bool
+	// silent are the nodes that nobody hears.
+	silent map[*Node]bool
 }
 
 func newReaderFleet(t *testing.T) *readerFleet {
-	f := &readerFleet{t: t, nodes: newFleet(t, testRoute("a", true)), cut: map[*Node]bool{}}
+	f := &readerFleet{t: t, nodes: newFleet(t, testRoute("a", true)), cut: map[*Node]bool{}, silent: map[*Node]bool{}}
 	for _, n := range f.nodes {
 		n.StoreLost()
 	}
@@ -30,20 +32,15 @@
 	for range beats {
 		f.now += HeartbeatInterval
 		for _, n := range f.nodes {
-			switch {
-			case n.Follows(f.now), f.cut[n]:
-				n.StoreLost()
-			default:
-				n.StoreAnswered(f.now)
-				n.Registry().Answering(f.now)
-				n.Registry().Apply(f.now, changes)
-				n.Registered()
-			}
-			if len(n.Registry().Tick(f.now)) > 0 {
-				n.Registered()
+			f.read(n, changes)
+		}
+		for _, n := range f.nodes {
+			for _, other := range f.nodes {
+				if other != n && !f.silent[n] {
+					other.Hear(f.now, n.cfg.Instance, n.Heartbeat(f.now))
+				}
 			}
 		}
-		tell(f.now, f.nodes)
 		for _, n := range f.nodes {
 			if instance, ok := n.AskPeer(f.now); ok {
 				n.CatchUp(f.now, f.node(instance).Snapshot(f.now, n.Known()))
@@ -52,6 +49,31 @@
 	}
 }
 
+// read lets one node read the store, or follow those who do.
+func (f *readerFleet) read(n *Node, changes []registry.Change) {
+	follows := n.Follows(f.now)
+	if follows != n.following {
+		if follows {
+			n.Follow()
+		} else {
+			n.Resume(f.now)
+		}
+	}
+	switch {
+	case follows:
+	case f.cut[n]:
+		n.StoreLost()
+	default:
+		n.Registry().Answering(f.now)
+		n.StoreAnswered(f.now)
+		n.Registry().Apply(f.now, changes)
+		n.Registered()
+	}
+	if len(n.Registry().Tick(f.now)) > 0 {
+		n.Registered()
+	}
+}
+
 func (f *readerFleet) node(instance string) *Node {
 	for _, n := range f.nodes {
 		if n.cfg.Instance == instance {
@@ -139,3 +161,21 @@
 		t.Errorf("%d nodes still know it", got)
 	}
 }
+
+// TestSuccessorRemovesAtOnce: a node that takes over from a reader that fell silent
+// gives up what leaves at once; nothing says that the store was away.
+func TestSuccessorRemovesAtOnce(t *testing.T) {
+	f := newReaderFleet(t)
+	f.pass(int(registry.ReturnGrace/HeartbeatInterval) + 2)
+	for _, n := range f.readers() {
+		f.silent[n], f.cut[n] = true, true
+	}
+	f.pass(maxMissed + 3)
+	id := f.nodes[0].Registry().Service("b")[0].ID
+	f.pass(2, registry.Change{ID: id, Revision: 30, Removed: true})
+	for _, n := range f.nodes {
+		if !f.silent[n] && n.Registry().Get(id) != nil {
+			t.Errorf("%s still knows it", n.cfg.Instance)
+		}
+	}
+}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -81,6 +81,10 @@
 // Outage tells that the store does not answer.
 func (r *Registry) Outage() { r.outage = true }
 
+// Followed tells that other nodes read the store, so that it is no matter whether
+// it answers this one.
+func (r *Registry) Followed() { r.outage, r.settledAt = false, 0 }
+
 // InOutage tells whether the store does not answer.
 func (r *Registry) InOutage() bool { return r.outage }
 
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -148,7 +148,7 @@
 }
 
 func (s *Settings) instance() string {
-	return netip.MustParseAddrPort(s.Listen.Peers).Addr().String()
+	return netip.MustParseAddrPort(s.Listen.Heartbeats).Addr().String()
 }
 
 func (s *Settings) grace() time.Duration { return seconds(s.Bounds.GraceSeconds) }
--- a/node/sidecar/watch.go
+++ b/node/sidecar/watch.go
@@ -64,8 +64,10 @@
 // follow waits while other nodes read the store.
 func (r *storeReader) follow() {
 	if !r.following {
-		r.following = true
-		r.s.storeLost()
+		r.following, r.answering = true, true
+		r.s.mu.Lock()
+		r.s.node.Follow()
+		r.s.mu.Unlock()
 		r.s.log.Info("store left to other nodes", field("revision", r.revision))
 	}
 	r.s.pause(followPoll)
@@ -103,6 +105,7 @@
 // resume goes on from where the nodes that were followed had come to.
 func (r *storeReader) resume() {
 	r.s.mu.Lock()
+	r.s.node.Resume(r.s.now())
 	r.revision = r.s.node.Known().Revision
 	r.s.mu.Unlock()
 	r.listed = r.revision > 0
