Judge by its own reads whether the store was away

The two readers were cut off from the store alone and said so; the node that took over held that for an outage of the store.

Change: a node that takes over gives entries time to come back only if the store did not answer itself.

Measured: TestSuccessorRemovesAtOnce covers readers that are cut off alone, and fails with the code before.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -46,11 +46,10 @@
 	Version route.Version
 	// Revision is the store's, up to which the node is current.
 	Revision uint64
-	// Digest names the set of upstreams known. Reads tells that the node is in touch
-	// with the store, and Lost that it tries to be.
+	// Digest names the set of upstreams known, and Reads tells that the node is in
+	// touch with the store.
 	Digest  uint32
 	Reads   bool
-	Lost    bool
 	Service string
 	Load    Load
 	// Faults is the share of runs that the upstream failed by itself.
@@ -125,7 +124,7 @@
 	window := n.budget.bounds.Window
 	b := Heartbeat{
 		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(),
-		Digest: n.digest, Reads: n.reads(now), Lost: n.registry.InOutage(), Service: n.cfg.Service, Load: n.Load(), Faults: float32(n.faults.share),
+		Digest: n.digest, Reads: n.reads(now), Service: n.cfg.Service, Load: n.Load(), Faults: float32(n.faults.share),
 		Firsts: float32(n.arrivals.firsts.sum(now, window)), Repeats: float32(n.arrivals.repeats.sum(now, window)),
 		Routes: n.runs.stats(), Roots: n.usage.stats(), Demand: n.entry.stats(), Crashes: n.crashStats(),
 	}
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -34,19 +34,9 @@
 	n.registry.Followed()
 }
 
-// Resume takes in that this node reads the store again. What lapsed while the
-// store was away may still come back; that is so if another reader lost it, and
-// not if that reader is gone itself.
-func (n *Node) Resume(now time.Duration) {
-	n.following = false
-	for instance, dataCentre := range n.instances {
-		p := n.peers[instance]
-		if dataCentre == n.cfg.DataCentre && p != nil && p.beatAt > 0 && !p.silent(now) && p.beat.Lost {
-			n.registry.Outage()
-			return
-		}
-	}
-}
+// Resume takes in that this node reads the store again. What other nodes say of
+// the store does not count: they may be cut off from it alone.
+func (n *Node) Resume() { n.following = false }
 
 // learnsFromPeers tells whether this node does not read the store.
 func (n *Node) learnsFromPeers() bool { return n.following || n.registry.InOutage() }
--- a/core/mesh/readers_test.go
+++ b/core/mesh/readers_test.go
@@ -56,7 +56,7 @@
 		if follows {
 			n.Follow()
 		} else {
-			n.Resume(f.now)
+			n.Resume()
 		}
 	}
 	switch {
@@ -162,20 +162,22 @@
 	}
 }
 
-// TestSuccessorRemovesAtOnce: a node that takes over from a reader that fell silent
-// gives up what leaves at once; nothing says that the store was away.
+// TestSuccessorRemovesAtOnce: a node that takes over from readers that fell silent,
+// or were cut off from the store alone, gives up what leaves at once.
 func TestSuccessorRemovesAtOnce(t *testing.T) {
-	f := newReaderFleet(t)
-	f.pass(int(registry.ReturnGrace/HeartbeatInterval) + 2)
-	for _, n := range f.readers() {
-		f.silent[n], f.cut[n] = true, true
-	}
-	f.pass(maxMissed + 3)
-	id := f.nodes[0].Registry().Service("b")[0].ID
-	f.pass(2, registry.Change{ID: id, Revision: 30, Removed: true})
-	for _, n := range f.nodes {
-		if !f.silent[n] && n.Registry().Get(id) != nil {
-			t.Errorf("%s still knows it", n.cfg.Instance)
+	for _, silent := range []bool{true, false} {
+		f := newReaderFleet(t)
+		f.pass(int(registry.ReturnGrace/HeartbeatInterval) + 2)
+		for _, n := range f.readers() {
+			f.silent[n], f.cut[n] = silent, true
+		}
+		f.pass(int(storeFresh/HeartbeatInterval) + 3)
+		id := f.nodes[0].Registry().Service("b")[0].ID
+		f.pass(2, registry.Change{ID: id, Revision: 30, Removed: true})
+		for _, n := range f.nodes {
+			if !f.silent[n] && n.Registry().Get(id) != nil {
+				t.Errorf("readers silent %v: %s still knows it", silent, n.cfg.Instance)
+			}
 		}
 	}
 }
--- a/node/sidecar/watch.go
+++ b/node/sidecar/watch.go
@@ -105,7 +105,7 @@
 // resume goes on from where the nodes that were followed had come to.
 func (r *storeReader) resume() {
 	r.s.mu.Lock()
-	r.s.node.Resume(r.s.now())
+	r.s.node.Resume()
 	r.revision = r.s.node.Known().Revision
 	r.s.mu.Unlock()
 	r.listed = r.revision > 0
