Repeat nothing that has no time left to run

The upstream's own 504 was replaced by the node's, and the repeat was taken from the budget.

Change: a repeat needs half of the mean run time of its route; else the failure is delivered as it is.

Measured: the new test fails before (a send with 50 ms left of 200) and passes after.

--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -175,3 +175,19 @@
 		t.Errorf("%.1f repeats allowed, %.1f before the reruns", got, before)
 	}
 }
+
+// TestNoRepeatWithoutTime: a failure that comes when there is no time left for
+// another run is delivered as it is.
+func TestNoRepeatWithoutTime(t *testing.T) {
+	n := newFleet(t, testRoute("a", true))[3]
+	settle(n)
+	n.Hear(time.Second, "10.0.0.1", Heartbeat{Incarnation: 1, Service: "a", Load: Load{Limit: 9},
+		Routes: []RouteStat{{Route: RouteID(testRoute("a", true)), Run: 200 * time.Millisecond}}})
+	for left, want := range map[time.Duration]StepKind{50 * time.Millisecond: StepDeliver, 500 * time.Millisecond: StepSend} {
+		c, _ := n.Arrive(time.Second, Arrival{ID: "1", Host: "h", Path: "/a/1", Wait: time.Second})
+		step := n.Ended(c.Deadline-left, c, Outcome{Kind: Answered, Status: 504, Reached: true})
+		if step.Kind != want {
+			t.Errorf("%v left: step %v, want %v", left, step.Kind, want)
+		}
+	}
+}
--- a/core/mesh/result.go
+++ b/core/mesh/result.go
@@ -89,7 +89,7 @@
 // mayRepeat tells whether c may reach a further upstream, and takes that from
 // the budget.
 func (n *Node) mayRepeat(now time.Duration, c *Call) bool {
-	if c.reached >= c.Route.MaxAttempts || len(c.tried) >= maxSends || now >= c.Deadline {
+	if c.reached >= c.Route.MaxAttempts || len(c.tried) >= maxSends || c.Deadline-now < n.leastLeft(c) {
 		return false
 	}
 	if !n.takeRepeat(now, c) {
@@ -100,6 +100,11 @@
 }
 
 func (n *Node) again(now time.Duration, c *Call, o Outcome) Step {
+// leastLeft is the time that a run of c has to have left to be worth beginning.
+func (n *Node) leastLeft(c *Call) time.Duration {
+	return time.Duration(needShare * float64(n.meanRun(c.RouteID, c.Service)))
+}
+
 	if s := n.send(now, c); s.Kind == StepSend {
 		return s
 	}
