Add a fault soak of real processes

Change: harness/faults runs nodes as processes on loopback addresses with stand-ins for store, upstreams and callers. Proxies slow, silence, cut one way and reset the connections between nodes, to upstreams and to the store; processes are killed, stopped, frozen and told to reload; the store refuses, falls silent, answers with what is old and forgets its history; upstreams crash, slow down, turn work away and drain; tables are published. Twelve checks of what callers and upstreams saw, each with a test that it finds its violation, and nine parts that can be built wrongly. The store's stand-in is platform/standin, which the tests of platform use too. A node's identity is the address of its heartbeats, so that a proxy can stand before its listener.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?= 40
 FROM ?= 1
 
-.PHONY: build test race format lint measure soak bench demo
+.PHONY: build test race format lint measure soak faults faults-broken bench demo
 
 build:
 	go build $(PACKAGES)
@@ -30,6 +30,16 @@
 soak:
 	@go run ./harness/cmd/harness soak -seeds $(SEEDS) -from $(FROM)
 
+# Runs nodes as processes, harms them from outside and checks what callers see.
+faults:
+	go build -o target/ ./node/cmd/shallotd
+	@go run ./harness/cmd/harness faults -binary target/shallotd -seeds $(SEEDS) -from $(FROM) $(if $(NODES),-nodes $(NODES))
+
+# Shows that each check of faults finds a part that is built wrongly.
+faults-broken:
+	go build -o target/ ./node/cmd/shallotd
+	@go run ./harness/cmd/harness faults -binary target/shallotd -broken
+
 bench:
 	@go run ./harness/cmd/harness bench
 
--- a/harness/cmd/harness/main.go
+++ b/harness/cmd/harness/main.go
@@ -23,7 +23,7 @@
 	root := &ffcli.Command{
 		ShortUsage: "harness <subcommand> [flags]",
 		Subcommands: []*ffcli.Command{
-			measureCommand(), soakCommand(), spreadCommand(), benchCommand(), demoCommand(),
+			measureCommand(), soakCommand(), spreadCommand(), benchCommand(), demoCommand(), faultsCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
