--- a/core/mesh/entry.go
+++ b/core/mesh/entry.go
@@ -166,6 +166,7 @@
 	n.entry.learn(demand)
 	n.entry.share(demand)
 	n.pressed = n.entry.pressed()
+	n.notePeers(now)
 }
 
 // pressed tells whether a service has much of its places in use, or a part of the
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -59,6 +59,7 @@
 	// pressed is set while the fleet has little room, see pressedFrom.
 	pressed bool
 	leaving bool
+	events  []Event
 }
 
 // New returns a node that knows no table and no upstreams.
--- a/core/mesh/peer.go
+++ b/core/mesh/peer.go
@@ -35,6 +35,8 @@
 	beat        Heartbeat
 	leavingTill time.Duration
 	outlier     outlier.Target
+	// noted is what the last events said of it.
+	noted struct{ silent, faulty bool }
 }
 
 func (n *Node) peer(instance string) *peer {
--- a/core/mesh/result.go
+++ b/core/mesh/result.go
@@ -59,6 +59,7 @@
 		n.Registered()
 	}
 	g := &n.group(c.Service).outliers
+	defer n.noteEjection(now, a.peer, a.peer.outlier.Ejected(), o.Reason)
 	switch {
 	case o.Reason == ReasonLeaving:
 		a.peer.leavingTill = now + leavingTime
@@ -99,12 +100,12 @@
 	return true
 }
 
-func (n *Node) again(now time.Duration, c *Call, o Outcome) Step {
 // leastLeft is the time that a run of c has to have left to be worth beginning.
 func (n *Node) leastLeft(c *Call) time.Duration {
 	return time.Duration(needShare * float64(n.meanRun(c.RouteID, c.Service)))
 }
 
+func (n *Node) again(now time.Duration, c *Call, o Outcome) Step {
 	if s := n.send(now, c); s.Kind == StepSend {
 		return s
 	}
--- a/node/internal/logging/logger.go
+++ b/node/internal/logging/logger.go
@@ -72,11 +72,17 @@
 
 // Log logs an event at a level.
 func (l *Logger) Log(level logrus.Level, message string, fields []Field) {
+	l.Lazy(level, message, func() []Field { return fields })
+}
+
+// Lazy is Log for fields that are only made if the line is written.
+func (l *Logger) Lazy(level logrus.Level, message string, make func() []Field) {
 	now := time.Now()
 	suppressed, ok := l.limit.allow(now, message)
 	if !ok {
 		return
 	}
+	fields := make()
 	if suppressed > 0 {
 		fields = append(fields[:len(fields):len(fields)], count("suppressed", suppressed))
 	}
--- a/node/sidecar/beat.go
+++ b/node/sidecar/beat.go
@@ -41,7 +41,9 @@
 		kind := mesh.Beat{Interval: to.Interval, Partial: to.Partial}
 		due[kind] = append(due[kind], to.Instance)
 	})
+	events := s.node.Events()
 	s.mu.Unlock()
+	s.logBeliefs(events)
 	for kind, instances := range due {
 		s.sendHeartbeat(b.For(kind), instances)
 	}
--- a/node/sidecar/entry.go
+++ b/node/sidecar/entry.go
@@ -38,6 +38,9 @@
 		s.mu.Lock()
 		step = s.node.Ended(s.now(), call, o)
 		s.mu.Unlock()
+		if step.Kind == mesh.StepSend {
+			s.logAgain(call, o, step.Target)
+		}
 	}
 	s.answer(x, call, step)
 }
--- a/node/sidecar/events.go
+++ b/node/sidecar/events.go
@@ -43,15 +43,43 @@
 
 // logCall writes one line on a call: what decided it, and the outcome.
 func (s *Sidecar) logCall(message string, c *mesh.Call, step mesh.Step, status int) {
-	s.log.Log(logging.InfoLevel, message, []logging.Field{
+	s.log.Lazy(logging.InfoLevel, message, func() []logging.Field { return s.callFields(c, step, status) })
+}
+
+// callFields are the inputs of the decisions on a call, and their outcome.
+func (s *Sidecar) callFields(c *mesh.Call, step mesh.Step, status int) []logging.Field {
+	return []logging.Field{
 		field("request", c.ID), field("route", c.Route.Name), field("service", c.Service), field("version", c.Version),
 		field("attempts", c.Attempts()), field("last", c.LastTried()), field("reason", step.Reason), field("status", status),
 		field("inner", c.Inner), field("returned", c.Returned), field("priority", c.Rank.Priority), field("age_ms", milliseconds(c.Rank.Age)),
 		field("took_ms", milliseconds(s.now()-c.Arrived)), field("left_ms", milliseconds(c.Deadline-s.now())),
 		field("retry_after_ms", milliseconds(step.RetryAfter)),
+	}
+}
+
+// logAgain writes the line of a call that is sent once more.
+func (s *Sidecar) logAgain(c *mesh.Call, o mesh.Outcome, t mesh.Target) {
+	s.log.Lazy(logging.InfoLevel, "request sent again", func() []logging.Field {
+		return []logging.Field{
+			field("request", c.ID), field("route", c.Route.Name), field("service", c.Service), field("attempts", c.Attempts()),
+			field("reason", o.Reason), field("status", o.Status), field("reached", o.Reached),
+			field("to", c.LastTried()), field("load", fmt.Sprintf("%.2f", t.Load)), field("load_age_ms", milliseconds(t.LoadAge)),
+			field("left_ms", milliseconds(c.Deadline-s.now())),
+		}
 	})
 }
 
+// logBeliefs writes what changed in what the node believes of others.
+func (s *Sidecar) logBeliefs(events []mesh.Event) {
+	for _, e := range events {
+		fields := []logging.Field{field("instance", e.Instance), field("faults", fmt.Sprintf("%.2f", e.Faults)), field("beat_age_ms", milliseconds(e.Age))}
+		if e.Reason != mesh.ReasonNone {
+			fields = append(fields, field("reason", e.Reason))
+		}
+		s.log.Log(logging.InfoLevel, e.Kind.String(), fields)
+	}
+}
+
 func (s *Sidecar) logRefusal(w *work, reason mesh.Reason) {
 	s.mu.Lock()
 	load := s.node.Load()
