--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 # Runs nodes as processes, harms them from outside and checks what callers see.
 faults:
 	go build -o target/ ./node/cmd/shallotd
-	@go run ./harness/cmd/harness faults -binary target/shallotd -seeds $(SEEDS) -from $(FROM) $(if $(NODES),-nodes $(NODES))
+	@go run ./harness/cmd/harness faults -binary target/shallotd -seeds $(SEEDS) -from $(FROM) $(if $(NODES),-nodes $(NODES)) -regressions harness/faults/regressions.txt
 
 # Shows that each check of faults finds a part that is built wrongly.
 faults-broken:
--- a/harness/cmd/harness/faults.go
+++ b/harness/cmd/harness/faults.go
@@ -30,6 +30,7 @@
 	flags.IntVar(&o.Callers, "callers", defaultFaultCallers, "number of callers")
 	flags.StringVar(&o.Binary, "binary", "", "the program of the nodes")
 	broken := flags.Bool("broken", false, "build parts wrongly, one after the other, and see that a check finds each")
+	regressions := flags.String("regressions", "", "file of seeds that failed once, played first")
 	dir := flags.String("dir", filepath.Join(os.TempDir(), "shallotspool-faults"), "where settings and logs of failed seeds are kept")
 	return &ffcli.Command{
 		Name: "faults", ShortUsage: "harness faults -binary PATH [flags]", FlagSet: flags,
@@ -41,6 +42,9 @@
 			if *broken {
 				return runBroken(o, *dir)
 			}
+			if err := runRegressions(o, *regressions, *dir); err != nil {
+				return err
+			}
 			return runFaults(o, *dir, *from, *seeds)
 		},
 	}
@@ -108,3 +112,30 @@
 	}
 	return nil
 }
+
+// runRegressions plays the seeds of a file: lines of a number of nodes, a seed and
+// what was the cause.
+func runRegressions(o faults.Options, path, dir string) error {
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	number := 0
+	for line := range strings.Lines(string(text)) {
+		number++
+		if line = strings.TrimSpace(line); line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var seed uint64
+		if _, err := fmt.Sscan(line, &o.Nodes, &seed); err != nil {
+			return fmt.Errorf("%s:%d: want the number of nodes and a seed: %w", path, number, err)
+		}
+		if err := runFaults(o, dir, seed, 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
