Tell deadlines and silent connections from lost answers

Cause: a timeout as fasthttp reports it is no net.Error, so a request whose time was over counted as lost: its caller got 502 instead of 504, and three of them in a row ejected an upstream that was only short of time. The error of a connection that fell silent, in turn, is a timeout too, so it counted as a deadline, and the other connections to that address were not closed. Found by the missing test of the rule on a route's timeout.

Change: both are told apart. An upstream that runs out of time is not ejected; a node that gives no answer at all by the deadline still is.

--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -169,6 +169,8 @@
 	Reason Reason
 	// Reached tells that the upstream itself got the request.
 	Reached bool
+	// Silent tells that a node gave no answer of any kind by the deadline.
+	Silent bool
 	// Load is what the answering node told of its upstream; Known tells whether
 	// it did.
 	Load  Load
--- a/core/mesh/pick_test.go
+++ b/core/mesh/pick_test.go
@@ -57,3 +57,22 @@
 		t.Errorf("run time %v after 60 runs that were given up at 700 ms", got)
 	}
 }
+
+// TestSilentAnswersEject: a node that gives no answer by the deadline, again and
+// again, gets no more work; an upstream that runs out of time does.
+func TestSilentAnswersEject(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		n := newFleet(t, testRoute("a", true))[3]
+		for range 40 {
+			c, step := n.Arrive(0, Arrival{ID: "r", Host: "h", Path: "/a/1"})
+			o := Outcome{Kind: Answered, Status: 200, Reached: true}
+			if step.Target.Instance == "10.0.0.1" {
+				o = Outcome{Kind: Unknown, Reason: ReasonDeadline, Reached: true, Silent: silent}
+			}
+			n.Ended(c.Deadline, c, o)
+		}
+		if got := n.peer("10.0.0.1").outlier.Ejected(); got != silent {
+			t.Errorf("silent %v: ejected %v", silent, got)
+		}
+	}
+}
--- a/core/mesh/result.go
+++ b/core/mesh/result.go
@@ -66,7 +66,7 @@
 		a.peer.outlier.Unsure()
 	case o.Kind == Answered && o.Status < serverError, o.Reason == ReasonBusy:
 		a.peer.outlier.Succeeded(now, g)
-	case o.Reason == ReasonDeadline || o.Reason == ReasonMoved || o.Reason == ReasonShed || o.Kind == Answered:
+	case o.Reason == ReasonDeadline && !o.Silent || o.Reason == ReasonMoved || o.Reason == ReasonShed || o.Kind == Answered:
 		a.peer.outlier.Unsure()
 	default:
 		a.peer.outlier.Failed(now, g)
--- a/node/sidecar/carry.go
+++ b/node/sidecar/carry.go
@@ -67,6 +67,8 @@
 		return len(h.Peek(hopResult)) > 0
 	})
 	if o.Kind != mesh.Answered {
+		// A node answers at the deadline at the latest.
+		o.Silent = o.Kind == mesh.Unknown && o.Reason == mesh.ReasonDeadline
 		return o
 	}
 	h := &w.response.Header
@@ -122,14 +124,16 @@
 // broken is the outcome of an exchange without a whole answer.
 func (s *Sidecar) broken(p *pool.Pool, w *work, err error, sent bool) mesh.Outcome {
 	o := mesh.Outcome{Kind: mesh.Unknown, Reason: mesh.ReasonLost, Reached: true}
-	var timeout net.Error
+	// fasthttp's own timeouts are no net.Error.
+	var timeout interface{ Timeout() bool }
 	switch {
 	case !sent:
 		o = mesh.Outcome{Kind: mesh.NotRun, Reason: mesh.ReasonUnreachable}
-	case errors.As(err, &timeout) && timeout.Timeout():
-		o.Reason = mesh.ReasonDeadline
 	case errors.Is(err, syscall.ETIMEDOUT):
+		// The connection fell silent; others to that address did so too.
 		p.DropIdle()
+	case errors.As(err, &timeout) && timeout.Timeout():
+		o.Reason = mesh.ReasonDeadline
 	}
 	s.log.Info("exchange failed", field("address", p.Address()), field("request", w.id),
 		field("reason", o.Reason), field("sent", sent), field("error", err))
--- a/node/sidecar/path_test.go
+++ b/node/sidecar/path_test.go
@@ -234,3 +234,23 @@
 	f.register("deep", deep, true)
 	f.eventually("draining known", func() bool { return strings.Count(f.logs.String(), "draining=true") == 2 })
 }
+
+// TestRouteTimeoutEndsARequest: a request whose upstream does not answer gets its
+// final answer at the route's timeout, not at the caller's deadline.
+func TestRouteTimeoutEndsARequest(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep)
+	table := testTable(2)
+	for _, r := range table.Routes {
+		r.Timeout = 200 * time.Millisecond
+	}
+	f.store.publish(store.Changes{Tables: []*route.Table{table}})
+	f.eventually("version 2", func() bool { return strings.Count(f.logs.String(), "version=2") >= 2 })
+	f.upstreams[deep].behave(func(*fasthttp.RequestCtx) { time.Sleep(3 * time.Second) })
+	for _, path := range []string{"/write/1", "/read/1"} {
+		began := time.Now()
+		got := f.caller(front).ask("POST", path, "r1")
+		if took := time.Since(began); got.status != 504 || took > 2*time.Second {
+			t.Errorf("%s: %+v after %v\n%s", path, got, took, f.logs)
+		}
+	}
+}
