--- a/core/mesh/faults.go
+++ b/core/mesh/faults.go
@@ -58,14 +58,14 @@
 	down bool
 }
 
-func (f *faults) learn(end RunEnd, ownDoing bool) {
+func (f *faults) learn(end RunEnd, ownFault bool) {
 	fault := 0.0
 	switch end {
 	case RunSucceeded:
 	case RunTurnedAway:
 		fault = 1
 	case RunFailed, RunExpired:
-		if !ownDoing {
+		if !ownFault {
 			return
 		}
 		fault = 1
@@ -141,12 +141,12 @@
 // endRun takes in what the end of a run says of the own upstream.
 func (n *Node) endRun(w Work, took time.Duration, end RunEnd) {
 	l := n.working[w.Name]
-	ownDoing := l == nil || l.open == 0 && l.failed == 0
+	ownFault := l == nil || l.open == 0 && l.failed == 0
 	if end == RunExpired {
 		// One that began late has little time, whatever the upstream does.
-		ownDoing = ownDoing && took > hungFactor*n.runs.of(w.Route)
+		ownFault = ownFault && took > hungFactor*n.runs.of(w.Route)
 	}
-	n.faults.learn(end, ownDoing)
+	n.faults.learn(end, ownFault)
 	slow := end != RunTurnedAway && end != RunUnreachable && took > n.runs.of(w.Route)
 	if end == RunSucceeded || slow {
 		// A run that failed or was given up would have taken at least as long.
