Serve what decisions follow from as metrics

Cause: metrics told requests and connections only; the age of what a node knows, limits, shares and what is left of the bound on repeats had to be read from the log.

Change: levels of the table, the store, the own upstream, each service, each share, each bound and each instance heard of, with units in their names.

Measured: a test reads them from a running node and finds every name on the operators' page.

--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -26,7 +26,7 @@
 	var nodes []*Node
 	for _, e := range entries {
 		n := New(Config{Instance: e.Upstream.Instance, Incarnation: 1, Service: e.Upstream.Service, DataCentre: "x", Seed: 1, Retries: testBounds})
-		if !n.SetTable(table) {
+		if !n.SetTable(0, table) {
 			t.Fatalf("table refused")
 		}
 		n.Registry().Replace(0, entries, 9)
--- a/core/mesh/catchup.go
+++ b/core/mesh/catchup.go
@@ -89,7 +89,7 @@
 	if !n.learnsFromPeers() {
 		return news
 	}
-	if s.Table != nil && n.SetTable(s.Table) {
+	if s.Table != nil && n.SetTable(now, s.Table) {
 		news.Table = s.Table
 	}
 	known := n.registry.Revision()
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -31,6 +31,7 @@
 	cfg      Config
 	random   *rand.Rand
 	table    *route.Table
+	tableAt  time.Duration
 	splitter *route.Splitter
 	registry *registry.Registry
 	guard    *guard.Guard
@@ -79,11 +80,11 @@
 func (n *Node) Table() *route.Table { return n.table }
 
 // SetTable puts a table in force unless it is not newer than the one in force.
-func (n *Node) SetTable(t *route.Table) bool {
+func (n *Node) SetTable(now time.Duration, t *route.Table) bool {
 	if n.table != nil && t.Version <= n.table.Version {
 		return false
 	}
-	n.table = t
+	n.table, n.tableAt = t, now
 	return true
 }
 
--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // ServiceReport is what a node believes of one service.
@@ -55,3 +56,63 @@
 	}
 	return ""
 }
+
+// PeerReport is what a node believes of another instance.
+type PeerReport struct {
+	Instance string
+	Load     Load
+	// BeatAge is the time since its last heartbeat, Faults the share of runs that
+	// its upstream fails.
+	BeatAge         time.Duration
+	Faults          float64
+	Ejected, Silent bool
+}
+
+// Peers returns what this node believes of the instances it heard of.
+func (n *Node) Peers(now time.Duration) (out []PeerReport) {
+	for _, instance := range n.known() {
+		if instance == n.cfg.Instance {
+			continue
+		}
+		p := n.peers[instance]
+		out = append(out, PeerReport{
+			Instance: instance, Load: p.load, BeatAge: now - p.beatAt, Faults: n.faultShare(p),
+			Ejected: p.outlier.Ejected(), Silent: p.silent(now),
+		})
+	}
+	return out
+}
+
+// RepeatsReport is where a service's bound on repeats stands.
+type RepeatsReport struct {
+	Service string
+	// Arrived and Allowed are the repeats within the window, of all nodes; Left is
+	// how many this node may still make.
+	Arrived, Allowed, Left float64
+}
+
+// Repeats returns the bounds on repeats of all services.
+func (n *Node) Repeats(now time.Duration) (out []RepeatsReport) {
+	b := n.budget.bounds
+	for name, v := range n.entry.services {
+		out = append(out, RepeatsReport{
+			Service: name, Arrived: v.repeats, Allowed: b.Ratio*v.firsts + b.Slack,
+			Left: max(n.direct(now, name)-n.budget.service(name).direct.sum(now, b.Window), 0),
+		})
+	}
+	slices.SortFunc(out, func(a, b RepeatsReport) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// Ages returns the time since the table came into force and since the store last
+// answered this node; either is negative if it never was.
+func (n *Node) Ages(now time.Duration) (table, store time.Duration) {
+	table, store = -1, -1
+	if n.table != nil {
+		table = now - n.tableAt
+	}
+	if n.storeAt > 0 {
+		store = now - n.storeAt
+	}
+	return table, store
+}
--- a/harness/pattern/world.go
+++ b/harness/pattern/world.go
@@ -200,7 +200,7 @@
 		}
 	}
 	for _, n := range w.nodes {
-		n.mesh.SetTable(table)
+		n.mesh.SetTable(0, table)
 		n.mesh.Registry().Replace(0, entries, 1)
 		n.mesh.Registered()
 	}
--- a/node/internal/metrics/export.go
+++ b/node/internal/metrics/export.go
@@ -41,6 +41,35 @@
 	return nil
 }
 
+// Level is a value as it is now, with at most one label.
+type Level struct {
+	Name         string
+	Label, Value string
+	Now          float64
+}
+
+// WriteLevels writes levels in the same format; those of one name follow each
+// other.
+func WriteLevels(w io.Writer, levels []Level) error {
+	family := ""
+	for _, l := range levels {
+		if l.Name != family {
+			family = l.Name
+			if _, err := fmt.Fprintf(w, "# TYPE %s gauge\n", family); err != nil {
+				return err
+			}
+		}
+		labels := ""
+		if l.Label != "" {
+			labels = fmt.Sprintf("%s=%q", l.Label, l.Value)
+		}
+		if _, err := fmt.Fprintf(w, "%s%s %g\n", l.Name, braces(labels), l.Now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func kindOf(metric any) string {
 	switch metric.(type) {
 	case gometrics.Counter:
--- a/node/sidecar/operations_test.go
+++ b/node/sidecar/operations_test.go
@@ -84,3 +84,31 @@
 		t.Errorf("%d lines are shown", shown)
 	}
 }
+
+// TestMetricsPage: the metrics tell what decisions follow from, by names with
+// units, each of which the operators' page explains.
+func TestMetricsPage(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep)
+	if got := f.caller(front).ask("GET", "/read/1", "r1"); got.status != 200 {
+		t.Fatalf("%+v", got)
+	}
+	var body string
+	f.eventually("all levels", func() bool {
+		_, text, err := fasthttp.Get(nil, "http://"+f.addr(front, metricsPort)+"/metrics")
+		body = string(text)
+		return err == nil && strings.Contains(body, `shallot_heartbeat_age_seconds{instance="`+deep+`"}`) &&
+			strings.Contains(body, `shallot_repeats_left{service="deep"}`)
+	})
+	page, err := os.ReadFile(operatorsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(body) {
+		if name, found := strings.CutPrefix(line, "# TYPE "); found {
+			name, _, _ = strings.Cut(name, " ")
+			if !strings.Contains(string(page), "`"+name+"`") {
+				t.Errorf("%s is not on the page", name)
+			}
+		}
+	}
+}
--- a/node/sidecar/ready.go
+++ b/node/sidecar/ready.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/node/internal/listener"
+	"github.com/shallotspool/shallotspool/node/internal/metrics"
 )
 
 // serveReady answers whether the node takes callers.
@@ -22,10 +23,14 @@
 	}
 }
 
-// serveMetrics writes the counters and histograms.
+// serveMetrics writes the counters, histograms and levels.
 func (s *Sidecar) serveMetrics(_ context.Context, x *listener.Exchange) {
 	var text bytes.Buffer
-	if err := s.metrics.Write(&text); err != nil {
+	err := s.metrics.Write(&text)
+	if err == nil {
+		err = metrics.WriteLevels(&text, s.levels())
+	}
+	if err != nil {
 		s.log.Warn("metrics not written", field("error", err))
 		x.Response.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
--- a/node/sidecar/watch.go
+++ b/node/sidecar/watch.go
@@ -141,7 +141,7 @@
 	s.node.StoreAnswered(now)
 	var inForce []*route.Table
 	for _, t := range c.Tables {
-		if s.node.SetTable(t) {
+		if s.node.SetTable(now, t) {
 			inForce = append(inForce, t)
 		}
 	}
