Write down what a node decides, event by event

Cause: the decisions of core/mesh had no golden sessions. Measured: go test -count=2 ./core/mesh passes.

--- /dev/null
+++ b/core/mesh/session_test.go
@@ -0,0 +1,135 @@
+package mesh
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/shallotspool/shallotspool/core/guard"
+	"github.com/shallotspool/shallotspool/core/registry"
+)
+
+// session plays events on one node and writes down what it decides.
+type session struct {
+	n    *Node
+	now  time.Duration
+	out  strings.Builder
+	call *Call
+}
+
+func newSession(t *testing.T) *session {
+	return &session{n: newFleet(t, testRoute("a", true), testRoute("b", false))[0]}
+}
+
+func (s *session) at(ms int) { s.now = time.Duration(ms) * time.Millisecond }
+
+func (s *session) line(event, result string) {
+	fmt.Fprintf(&s.out, "%6d ms  %s -> %s\n", s.now.Milliseconds(), event, result)
+}
+
+func (s *session) arrive(id, path, parent string) {
+	c, step := s.n.Arrive(s.now, Arrival{ID: id, Host: "h", Path: path, Parent: parent, Wait: time.Second, Print: uint64(len(path))})
+	s.call = c
+	inner := ""
+	if c != nil && c.Inner {
+		inner = fmt.Sprintf(" for %s, priority %d", parent, c.Rank.Priority)
+	}
+	s.line("request "+id+" "+path+inner, stepText(step))
+}
+
+func (s *session) ends(o Outcome) {
+	s.line(fmt.Sprintf("its attempt ends: kind %d, status %d, %s", o.Kind, o.Status, o.Reason), stepText(s.n.Ended(s.now, s.call, o)))
+}
+
+func (s *session) offer(id uint64, name string, priority int, left time.Duration) {
+	d := s.n.Offer(s.now, Work{ID: id, Name: name, Rank: Rank{Priority: priority}, Deadline: s.now + left})
+	s.line(fmt.Sprintf("work %s, priority %d, %v left", name, priority, left), [...]string{"", "run", "wait", "refuse"}[d])
+}
+
+func (s *session) drain() {
+	for id, d, ok := s.n.NextWork(s.now); ok; id, d, ok = s.n.NextWork(s.now) {
+		verdict := "run"
+		if d == guard.Refuse {
+			verdict = "refuse"
+		}
+		s.line("next work", fmt.Sprintf("%d %s", id, verdict))
+	}
+}
+
+func stepText(s Step) string {
+	text := [...]string{"", "send", "deliver", "refuse", "fail", "unknown route"}[s.Kind]
+	if s.Kind == StepSend {
+		instance := s.Target.Instance
+		if instance == "" {
+			instance = "own upstream"
+		}
+		return fmt.Sprintf("%s to %s at %s", text, s.Target.Upstream, instance)
+	}
+	if s.RetryAfter > 0 {
+		text += ", come back"
+	}
+	return text + ", reason " + s.Reason.String()
+}
+
+// TestSessions: what a node decides, event by event.
+func TestSessions(t *testing.T) {
+	sessions := map[string]func(s *session){
+		"attempts": func(s *session) {
+			s.arrive("r1", "/b/1", "")
+			s.ends(Outcome{Kind: NotRun, Reason: ReasonUnreachable})
+			s.ends(Outcome{Kind: Unknown, Reason: ReasonLost, Reached: true})
+			s.arrive("r2", "/a/1", "")
+			s.ends(Outcome{Kind: Unknown, Reason: ReasonLost, Reached: true})
+			s.ends(Outcome{Kind: Answered, Status: 200, Reached: true})
+			s.arrive("r3", "/a/1", "")
+			s.at(990)
+			s.ends(Outcome{Kind: Answered, Status: 504, Reached: true})
+			s.arrive("r4", "/none", "")
+			s.arrive("r5", "/b/1", "")
+			s.ends(Outcome{Kind: NotRun, Reason: ReasonBusy})
+			s.ends(Outcome{Kind: NotRun, Reason: ReasonBusy})
+		},
+		"leaving": func(s *session) {
+			s.arrive("r1", "/b/1", "")
+			s.ends(Outcome{Kind: NotRun, Reason: ReasonLeaving})
+			s.ends(Outcome{Kind: Answered, Status: 200, Reached: true})
+			for _, id := range []string{"i-10.0.0.3", "i-10.0.0.4"} {
+				s.at(int(s.now.Milliseconds()) + 100)
+				u := *s.n.Registry().Get(id)
+				u.Draining = true
+				s.n.Registry().Apply(s.now, []registry.Change{{ID: id, Revision: s.n.Registry().Revision() + 1, Upstream: &u}})
+				s.n.Registered()
+				s.line(id+" drains", "noted")
+				s.arrive("r2", "/b/1", "")
+			}
+		},
+		"own_upstream": func(s *session) {
+			for i := range uint64(9) {
+				s.offer(i+1, fmt.Sprint("w", i+1), 1, time.Second)
+			}
+			s.offer(10, "w10", 1, time.Second)
+			s.offer(11, "w11", 0, time.Second)
+			s.offer(12, "w12", 0, 10*time.Millisecond)
+			s.arrive("w1.1", "/b/1", "w1")
+			s.ends(Outcome{Kind: Unknown, Reason: ReasonLost, Reached: true})
+			s.at(100)
+			s.n.WorkDone(s.now, Work{ID: 1, Name: "w1"}, s.now, RunFailed)
+			s.line("w1 fails", fmt.Sprintf("faults %.2f", s.n.Heartbeat(s.now).Faults))
+			s.drain()
+			s.n.WorkDone(s.now, Work{ID: 2, Name: "w2"}, s.now, RunSucceeded)
+			s.drain()
+			s.arrive("w1.2", "/b/1", "w1")
+		},
+	}
+	g := goldie.New(t)
+	for name, play := range sessions {
+		t.Run(name, func(t *testing.T) {
+			s := newSession(t)
+			play(s)
+			g.Assert(t, "session_"+name, []byte(s.out.String()))
+		})
+	}
+}
