--- a/core/mesh/faults.go
+++ b/core/mesh/faults.go
@@ -103,11 +103,11 @@
 // offer is what one upstream has to give.
 type offer struct{ slots, faults float64 }
 
-// usableSlots returns the slots that admitted requests can fill: most of them if
-// each request can fail for itself, fewer if one failed call fails a request that
-// makes many. Then what an upstream turns away or fails has to be repeated
-// elsewhere, and repeats are bounded to a share of all: of faulty upstreams as much
-// counts as that allows.
+// usableSlots returns how many slots admitted requests can fill. usable is for
+// requests that make many calls, one of which fails the whole: what an upstream
+// fails has to be repeated elsewhere, and repeats are bounded to a share of all, so
+// that faulty upstreams count as far as that allows. most is for requests that can
+// fail one by one. The offers are put in the order of their faults.
 func usableSlots(offers []offer, repeats float64) (usable, most float64) {
 	slices.SortFunc(offers, func(a, b offer) int { return cmp.Compare(a.faults, b.faults) })
 	sum, again := 0.0, 0.0
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -146,8 +146,8 @@
 	return nil, nil
 }
 
-// quick tells whether an upstream does not take much longer than others of its service:
-// a call that it fails then costs little time.
+// quick tells whether an upstream does not take much longer than others of its
+// service: a call that it fails then costs little time.
 func (n *Node) quick(c *Call, p *peer) bool {
 	return n.told(c.RouteID, p) <= time.Duration(retestSlowest*float64(n.meanRun(c.RouteID, c.Service)))
 }
