--- a/node/sidecar/levels.go
+++ b/node/sidecar/levels.go
@@ -57,4 +57,3 @@
 	}
 	return 0
 }
-
