Keep the platform's formats in platform/ and fix the seeds of property tests

Change: platform/encode.go writes both from the project's own types, as the inverse of reading them, with tests that what is written reads back as it was; the soak uses it. core/fixedseed is the TestMain of every package with property tests, in place of five copies.

--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -1,20 +1,16 @@
 package admission
 
 import (
-	"flag"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/shallotspool/shallotspool/core/fixedseed"
 )
 
-func TestMain(m *testing.M) {
-	// A fixed seed gives the same runs every time.
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	m.Run()
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 // TestControllerKeepsItsPromises drives a Controller at random: no run begins
 // over the limit, the queue keeps its bound, no item is lost or told twice, and
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -1,26 +1,21 @@
 package balancer_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/shallotspool/shallotspool/core/balancer"
+	"github.com/shallotspool/shallotspool/core/fixedseed"
 	"github.com/shallotspool/shallotspool/core/member"
 	"github.com/shallotspool/shallotspool/core/spill"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 // fleet returns n working peers, the first local ones in data centre dc0.
 func fleet(n, local int) []*member.Peer {
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -1,22 +1,17 @@
 package budget_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/shallotspool/shallotspool/core/budget"
+	"github.com/shallotspool/shallotspool/core/fixedseed"
 )
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 // run plays a call tree of random shape, whose answers get lost at random, and
 // returns the retries made in it.
--- a/core/owner/table_test.go
+++ b/core/owner/table_test.go
@@ -1,24 +1,19 @@
 package owner_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/shallotspool/shallotspool/core/fixedseed"
 	"github.com/shallotspool/shallotspool/core/owner"
 	"github.com/shallotspool/shallotspool/core/wire"
 )
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 const window = 10 * time.Second
 
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -1,22 +1,17 @@
 package poison_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/shallotspool/shallotspool/core/fixedseed"
 	"github.com/shallotspool/shallotspool/core/poison"
 )
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
 
 const remember = time.Minute
 
--- /dev/null
+++ b/core/spread/main_test.go
@@ -0,0 +1,10 @@
+package spread_test
+
+import (
+	"testing"
+
+	"github.com/shallotspool/shallotspool/core/fixedseed"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) { fixedseed.Run(m) }
--- a/harness/faults/caller.go
+++ b/harness/faults/caller.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	table "github.com/shallotspool/shallotspool/core/route"
 	"github.com/shallotspool/shallotspool/platform"
 )
 
@@ -23,20 +24,28 @@
 	versionPath  = "/v/"
 )
 
-// tableText is a version of the routing table: each has a route of its own.
-func tableText(version int, b Broken) []byte {
+// tableOf is a version of the routing table: each has a route of its own.
+func tableOf(version int, b Broken) *table.Table {
 	timeout := callerWait
 	if b == longDeadline {
 		timeout *= 5
 	}
-	rules := fmt.Sprintf(`{"name":"tree","prefix":"/tree/","kind":"idempotent","timeout_ms":%[3]d,"latency_goal_ms":1000,"priority":1,"max_attempts":2,"service":%[1]q},
-{"name":"order","prefix":"/order/","kind":"non_idempotent","timeout_ms":2000,"latency_goal_ms":1000,"priority":0,"max_attempts":2,"service":%[1]q},
-{"name":"leaf","prefix":"/leaf/","kind":"idempotent","timeout_ms":1000,"priority":1,"max_attempts":2,"service":%[2]q}`, frontService, leafService, timeout.Milliseconds())
+	t := &table.Table{Version: table.Version(version), Services: map[string]table.Service{
+		frontService: {Name: frontService}, leafService: {Name: leafService},
+	}}
+	add := func(name, prefix, service string, idempotent bool, priority int, timeout time.Duration) {
+		t.Routes = append(t.Routes, &table.Route{
+			Name: name, Host: host, Prefix: prefix, Idempotent: idempotent, Timeout: timeout, Goal: time.Second,
+			Priority: priority, MaxAttempts: 2, Split: []table.Share{{Service: service, Weight: 1}},
+		})
+	}
+	add("tree", "/tree/", frontService, true, 1, timeout)
+	add("order", "/order/", frontService, false, 0, callerWait)
+	add("leaf", "/leaf/", leafService, true, 1, callWait)
 	for v := 1; v <= version; v++ {
-		rules += fmt.Sprintf(`,{"name":"v%[1]d","prefix":"/v/%[1]d/","kind":"idempotent","timeout_ms":2000,"priority":2,"max_attempts":2,"service":%[2]q}`, v, frontService)
+		add(fmt.Sprint("v", v), fmt.Sprint(versionPath, v, "/"), frontService, true, 2, callerWait)
 	}
-	return fmt.Appendf(nil, `{"version":%d,"services":[{"name":%q},{"name":%q}],"virtual_hosts":[{"host":%q,"path_rules":[%s]}]}`,
-		version, frontService, leafService, host, rules)
+	return t
 }
 
 const (
--- a/harness/faults/node.go
+++ b/harness/faults/node.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/platform"
 )
 
@@ -107,14 +108,11 @@
 func (n *instance) address(port int) string { return net.JoinHostPort(n.ip, fmt.Sprint(port)) }
 
 // entry is what the upstream writes of itself into the store.
-func (n *instance) entry() (key string, value []byte) {
-	state := "ready"
-	if n.draining {
-		state = "draining"
+func (n *instance) entry() *registry.Upstream {
+	return &registry.Upstream{
+		ID: n.upstream.id, Service: n.service, Address: n.upstream.address, DataCentre: n.dataCentre(), Slots: slots,
+		Draining: n.draining, Born: n.born,
 	}
-	return platform.EntryPrefix + n.upstream.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"capacity_slots":%d,"instance_state":%q,"born":%d,"sequence":1}`,
-		n.service, n.upstream.address, n.dataCentre(), slots, state, n.born)
 }
 
 // slots is the number of requests that an upstream works on at once.
--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -121,7 +121,7 @@
 			return err
 		}
 		r.instances = append(r.instances, n)
-		r.store.Put(n.entry())
+		r.register(n)
 	}
 	r.publish()
 	for _, n := range r.instances {
@@ -214,17 +214,26 @@
 	version := int(r.newest.Load()) + 1
 	r.ledger.update(func() { r.ledger.versions[version] = r.ledger.now() })
 	if r.opts.Broken != tableUntold || version == 1 {
-		r.store.Put(platform.ConfigKey, tableText(version, r.opts.Broken))
+		key, value, err := platform.EncodeConfig(tableOf(version, r.opts.Broken))
+		r.fail(err)
+		r.store.Put(key, value)
 	}
 	r.newest.Store(int64(version))
 }
 
+// register writes the entry of an upstream into the store.
+func (r *run) register(n *instance) {
+	key, value, err := platform.EncodeEntry(n.entry())
+	r.fail(err)
+	r.store.Put(key, value)
+}
+
 func (r *run) version() int { return int(r.newest.Load()) }
 
 func (r *run) setDraining(n *instance, draining bool) {
 	n.draining = draining
 	if r.opts.Broken != drainUntold {
-		r.store.Put(n.entry())
+		r.register(n)
 	}
 	r.ledger.update(func() {
 		now := r.ledger.now()
