Share the raw server of two packages' tests

Cause: the tests of node/daemon and node/internal/pool each had the same loop that takes connections. Change: node/internal/rawserver has it once. Measured: both packages' tests pass, the pool's with the race detector.

--- a/node/daemon/faults_test.go
+++ b/node/daemon/faults_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/harness/standin"
+	"github.com/shallotspool/shallotspool/node/internal/rawserver"
 )
 
 // brokenAnswers are answers of an upstream that are not whole.
@@ -34,23 +35,7 @@
 // closes it.
 type rawUpstream struct{ answer, request atomic.Value }
 
-func (u *rawUpstream) serve(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go u.handle(conn)
-		}
-	}()
-	return ln.Addr().String()
-}
+func (u *rawUpstream) serve(t *testing.T) string { return rawserver.Serve(t, u.handle) }
 
 func (u *rawUpstream) handle(conn net.Conn) {
 	buffer := make([]byte, 4096)
--- a/node/internal/pool/terms_test.go
+++ b/node/internal/pool/terms_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,39 +13,32 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/node/internal/pool"
+	"github.com/shallotspool/shallotspool/node/internal/rawserver"
 )
 
 // serve answers each request on each connection with the next of answers; an
 // answer that ends with "END" closes the connection.
 func serve(t *testing.T, answers ...string) *pool.Pool {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
+	var mu sync.Mutex
+	address := rawserver.Serve(t, func(conn net.Conn) {
+		mu.Lock()
+		defer mu.Unlock()
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for len(answers) > 0 {
+			var req fasthttp.Request
+			if req.Read(in) != nil {
 				return
 			}
-			in := bufio.NewReader(conn)
-			for len(answers) > 0 {
-				var req fasthttp.Request
-				if req.Read(in) != nil {
-					break
-				}
-				text, ends := strings.CutSuffix(answers[0], "END")
-				answers = answers[1:]
-				_, _ = io.WriteString(conn, text)
-				if ends {
-					break
-				}
+			text, ends := strings.CutSuffix(answers[0], "END")
+			answers = answers[1:]
+			_, _ = io.WriteString(conn, text)
+			if ends {
+				return
 			}
-			_ = conn.Close()
 		}
-	}()
-	p := pool.New(pool.Config{Address: ln.Addr().String(), Max: 2})
+	})
+	p := pool.New(pool.Config{Address: address, Max: 2})
 	t.Cleanup(p.Close)
 	return p
 }
