Forget what repeats are no longer counted by

Cause: counters dropped what is older than their window only when they were read, and two of them are read only when a repeat is wanted: ten entries a second for ever.

Change: they drop it when something is added too. A field of the fault soak's ledger that nothing used is gone.

Measured: TestCountersForget fails before (102 entries after 10.1 s of 101 allowed, growing) and passes.

--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -58,7 +58,7 @@
 	requests, direct, induced counter
 }
 
-// counter sums up what happened within the window.
+// counter sums up what happened within the window, and forgets the rest.
 type counter struct{ list []spending }
 
 // spending is a number of requests or repeats at about one time.
@@ -70,7 +70,8 @@
 // counterGrain is the span whose events are counted as one.
 const counterGrain = 100 * time.Millisecond
 
-func (c *counter) add(now time.Duration, cost float64) {
+func (c *counter) add(now, window time.Duration, cost float64) {
+	c.forget(now, window)
 	if last := len(c.list) - 1; last >= 0 && now-c.list[last].at < counterGrain {
 		c.list[last].cost += cost
 		return
@@ -78,10 +79,14 @@
 	c.list = append(c.list, spending{now, cost})
 }
 
-func (c *counter) sum(now, window time.Duration) float64 {
+func (c *counter) forget(now, window time.Duration) {
 	for len(c.list) > 0 && now-c.list[0].at >= window {
 		c.list = c.list[1:]
 	}
+}
+
+func (c *counter) sum(now, window time.Duration) float64 {
+	c.forget(now, window)
 	sum := 0.0
 	for _, s := range c.list {
 		sum += s.cost
@@ -114,21 +119,21 @@
 // sent counts the first send of a request. Those made for a repeated run are
 // repeats themselves.
 func (b *retryBudget) sent(now time.Duration, c *Call) {
-	b.all.add(now, 1)
+	b.all.add(now, b.bounds.Window, 1)
 	if !c.Rank.Rerun {
-		b.service(c.Service).requests.add(now, 1)
+		b.service(c.Service).requests.add(now, b.bounds.Window, 1)
 	}
 }
 
 // arrivals counts what reached the own upstream within the window.
 type arrivals struct{ firsts, repeats counter }
 
-func (a *arrivals) began(now time.Duration, repeat bool) {
+func (a *arrivals) began(now, window time.Duration, repeat bool) {
 	if repeat {
-		a.repeats.add(now, 1)
+		a.repeats.add(now, window, 1)
 		return
 	}
-	a.firsts.add(now, 1)
+	a.firsts.add(now, window, 1)
 }
 
 // spent tells whether so many repeats arrived at a service, as its nodes tell,
@@ -184,12 +189,12 @@
 			return false
 		}
 	}
-	n.budget.service(c.Service).direct.add(now, 1)
+	n.budget.service(c.Service).direct.add(now, window, 1)
 	if !known {
-		n.budget.blind.add(now, 1)
+		n.budget.blind.add(now, window, 1)
 	}
 	for service, cost := range costs {
-		n.budget.service(service).induced.add(now, cost)
+		n.budget.service(service).induced.add(now, window, cost)
 	}
 	return true
 }
--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -191,3 +191,15 @@
 		}
 	}
 }
+
+// TestCountersForget: what is counted and never asked for takes no more room than
+// one window of it.
+func TestCountersForget(t *testing.T) {
+	var c counter
+	most := int(testBounds.Window/counterGrain) + 1
+	for now := time.Duration(0); now < time.Hour; now += counterGrain {
+		if c.add(now, testBounds.Window, 1); len(c.list) > most {
+			t.Fatalf("%d entries at %v, want %d at most", len(c.list), now, most)
+		}
+	}
+}
--- a/core/mesh/local.go
+++ b/core/mesh/local.go
@@ -40,7 +40,7 @@
 // WorkBegan takes in that the own upstream gets a request that waited.
 func (n *Node) WorkBegan(now time.Duration, w Work) {
 	n.usage.began(now, w.Rank.Root)
-	n.arrivals.began(now, w.Rank.Rerun)
+	n.arrivals.began(now, n.budget.bounds.Window, w.Rank.Rerun)
 }
 
 // needShare is the part of the mean run time that a request must have left to be
--- a/harness/faults/caller.go
+++ b/harness/faults/caller.go
@@ -127,7 +127,7 @@
 		if err != nil {
 			return
 		}
-		r.status, r.whole, r.got = resp.StatusCode(), true, string(resp.Body())
+		r.status, r.got = resp.StatusCode(), string(resp.Body())
 		r.wanted = bodyOf(frontService, r.id)
 		r.stamped = len(resp.Header.Peek(platform.HeaderStamp)) > 0
 		r.retryAfter = len(resp.Header.Peek(platform.HeaderRetryAfter)) > 0
--- a/harness/faults/checks_test.go
+++ b/harness/faults/checks_test.go
@@ -14,7 +14,7 @@
 		{id: "c2", sent: 21 * time.Second, status: 200},
 		{id: "c3", sent: 22 * time.Second, status: 200},
 	} {
-		r.wait, r.ended, r.whole, r.stamped = callerWait, r.sent+20*time.Millisecond, true, true
+		r.wait, r.ended, r.stamped = callerWait, r.sent+20*time.Millisecond, true
 		r.wanted, r.got = bodyOf(frontService, r.id), bodyOf(frontService, r.id)
 		l.requests[r.id] = &r
 		l.arrivals = append(l.arrivals, arrival{at: r.sent + time.Millisecond, id: r.id, service: frontService, upstream: "u0", run: true, left: callerWait})
--- a/harness/faults/ledger.go
+++ b/harness/faults/ledger.go
@@ -31,8 +31,7 @@
 	// ended is when the answer came, or the connection ended.
 	ended  time.Duration
 	status int
-	// whole tells that the answer was complete; wanted and got are the bodies.
-	whole       bool
+	// wanted and got are the bodies, stamped tells that the answer is an upstream's.
 	wanted, got string
 	stamped     bool
 	retryAfter  bool
