--- a/core/store/store.go
+++ b/core/store/store.go
@@ -23,6 +23,9 @@
 type Changes struct {
 	// Revision is the store revision up to which the changes are complete.
 	Revision uint64
+	// Era counts the restores of the store from an older copy, 0 if the store does not
+	// state it.
+	Era uint64
 	// Tables are the routing tables read, in the order in which they were written.
 	Tables []*route.Table
 	// Upstreams are the registrations and removals of upstreams. A registration that
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -65,7 +65,9 @@
 	sidecar                      *Sidecar
 	listed, available, following bool
 	revision                     uint64
-	backoff                      time.Duration
+	// era is the store's era at the last successful read.
+	era     uint64
+	backoff time.Duration
 }
 
 // followReaders makes the node follow the nodes that read the store, unless it already
@@ -97,6 +99,7 @@
 	}
 	switch {
 	case err == nil:
+		r.logRestore(changes)
 		r.sidecar.applyChanges(changes, !r.listed, !r.available)
 		if r.listed && changes.Revision > r.revision {
 			r.sidecar.sleepWithJitter(batchDelay)
@@ -110,6 +113,15 @@
 	}
 }
 
+// logRestore logs that the store was restored from an older copy since the last read.
+func (r *storeReadLoop) logRestore(changes store.Changes) {
+	if r.era != 0 && changes.Era != r.era {
+		r.sidecar.log.Warn("store restored", field("era", changes.Era), field("revision", changes.Revision),
+			field("previous_era", r.era), field("previous_revision", r.revision), field("listed", !r.listed))
+	}
+	r.era = changes.Era
+}
+
 // resumeReading continues from the revision that this node reached while it followed
 // other nodes.
 func (r *storeReadLoop) resumeReading() {
@@ -170,11 +182,11 @@
 	}
 	s.mu.Unlock()
 	if recovered {
-		s.log.Info("store regained", field("revision", changes.Revision))
+		s.log.Info("store regained", field("revision", changes.Revision), field("era", changes.Era))
 	}
 	for _, t := range inForce {
 		s.log.Info("table in force", field("version", t.Version), field("routes", len(t.Routes)), field("revision", changes.Revision),
-			field("from", sourceStore))
+			field("era", changes.Era), field("from", sourceStore))
 	}
 	for _, invalid := range changes.Invalid {
 		s.log.Warn("invalid value in store", field("key", invalid.Key), field("revision", invalid.Revision), field("error", invalid.Err))
