Log and count requests that run when an upstream crashes

Cause: the hypotheses of the BUDGET fault differ in which requests get a crash record, how many run beside them and which records a node reports; no line or metric told these. No decision uses them. Result: go test ./core/mesh ./node/sidecar passed.

--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -103,6 +103,25 @@
 	return out
 }
 
+// CrashReport is the state of the records of requests that ran when upstreams crashed.
+type CrashReport struct {
+	// Held is the number of requests with a record, and Blocked the number of those that
+	// are not run any more. Reported is the number of records in this node's heartbeats.
+	Held, Blocked, Reported int
+}
+
+// CrashReport returns the state of the crash records.
+func (n *Node) CrashReport(now time.Duration) CrashReport {
+	r := CrashReport{Reported: len(n.crashStats())}
+	for _, record := range n.crashRecords.Records() {
+		r.Held++
+		if n.crashesUpstreams(now, record.Fingerprint) {
+			r.Blocked++
+		}
+	}
+	return r
+}
+
 // TableAndStoreAge returns the time since the routing table came into force and since
 // the store last answered this node. The first is negative if there is no table, the
 // second if the store does not answer or this node does not read it.
--- a/node/sidecar/logs.go
+++ b/node/sidecar/logs.go
@@ -92,6 +92,14 @@
 		field("left_ms", formatMilliseconds(req.deadline-s.now())))
 }
 
+// logCrash logs that the local upstream crashed while it ran w. running is the number of
+// requests that ran at that time.
+func (s *Sidecar) logCrash(w mesh.Work, running int) {
+	s.metrics.AddToCounter("shallot_requests_at_crash_total", 1)
+	s.log.Warn("upstream crashed", field("request", w.RequestID), field("fingerprint", strconv.FormatUint(w.Fingerprint, 16)),
+		field("running", running))
+}
+
 // countRequest records a finished request in the metrics. c is nil as for logResult.
 func (s *Sidecar) countRequest(c *mesh.Call, step mesh.Step, status int, took time.Duration) {
 	if c == nil {
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -84,6 +84,7 @@
 	if crashed {
 		s.node.RecordCrash(now, work)
 	}
+	running := s.node.Load().Running
 	result := runResult(ctx, o)
 	// A connection attempt that the request's deadline may have cut short says nothing
 	// about the upstream.
@@ -94,6 +95,9 @@
 	s.node.WorkDone(now, work, now-started, result)
 	s.dispatchQueuedWork(now)
 	s.mu.Unlock()
+	if crashed {
+		s.logCrash(work, running)
+	}
 	return o
 }
 
