Move the decisions on reads of the store into the core

Cause: which read comes next, and whether its result replaces or extends what a node knows, stood in the loop that does the reads; a test of restores in series needs them in virtual time. Change: Node.NextRead, ApplyRead and HistoryGone hold them; the loop reads, logs and waits. No decision changes.

--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/shallotspool/shallotspool/core/mesh"
 	"github.com/shallotspool/shallotspool/core/registry"
-	"github.com/shallotspool/shallotspool/core/route"
 	"github.com/shallotspool/shallotspool/core/store"
 )
 
@@ -56,18 +56,16 @@
 	s.mu.Unlock()
 }
 
-// storeReadLoop is the state of reading the store. listed means that the node knows the
-// store's content at revision, so that the next read is a watch from there and not a
-// listing. available is false from the first failed read until a read succeeds or this
-// node follows others. following means that other nodes read the store for this one.
-// backoff is the mean delay after the next failed read.
+// storeReadLoop is the state of reading the store. available is false from the first
+// failed read until a read succeeds or this node follows others. following means that
+// other nodes read the store for this one. backoff is the mean delay after the next
+// failed read.
 type storeReadLoop struct {
-	sidecar                      *Sidecar
-	listed, available, following bool
-	revision                     uint64
-	// era is the store's era at the last successful read.
-	era     uint64
-	backoff time.Duration
+	sidecar              *Sidecar
+	available, following bool
+	// revision and era are those of the last successful read.
+	revision, era uint64
+	backoff       time.Duration
 }
 
 // followReaders makes the node follow the nodes that read the store, unless it already
@@ -90,34 +88,39 @@
 		r.resumeReading()
 		r.sidecar.log.Info("store read again", field("revision", r.revision))
 	}
+	r.sidecar.mu.Lock()
+	read := r.sidecar.node.NextRead()
+	r.sidecar.mu.Unlock()
 	var changes store.Changes
 	var err error
-	if r.listed {
-		changes, err = r.sidecar.store.Watch(r.revision, watchTimeout, watchResponseSlack)
-	} else {
+	if read.List {
 		changes, err = r.sidecar.store.List()
+	} else {
+		changes, err = r.sidecar.store.Watch(read.After, watchTimeout, watchResponseSlack)
 	}
 	switch {
 	case err == nil:
-		r.logRestore(changes)
-		r.sidecar.applyChanges(changes, !r.listed, !r.available)
-		if r.listed && changes.Revision > r.revision {
+		r.logRestore(read, changes)
+		r.sidecar.applyChanges(read, changes, !r.available)
+		if !read.List && changes.Revision > r.revision {
 			r.sidecar.sleepWithJitter(batchDelay)
 		}
-		r.listed, r.available, r.backoff, r.revision = true, true, minBackoff, changes.Revision
+		r.available, r.backoff, r.revision = true, minBackoff, changes.Revision
 	case errors.Is(err, store.ErrRevisionGone):
 		r.sidecar.log.Warn("store history gone", field("revision", r.revision))
-		r.listed = false
+		r.sidecar.mu.Lock()
+		r.sidecar.node.HistoryGone()
+		r.sidecar.mu.Unlock()
 	default:
 		r.handleError(err)
 	}
 }
 
 // logRestore logs that the store was restored from an older copy since the last read.
-func (r *storeReadLoop) logRestore(changes store.Changes) {
+func (r *storeReadLoop) logRestore(read mesh.StoreRead, changes store.Changes) {
 	if r.era != 0 && changes.Era != r.era {
 		r.sidecar.log.Warn("store restored", field("era", changes.Era), field("revision", changes.Revision),
-			field("previous_era", r.era), field("previous_revision", r.revision), field("listed", !r.listed))
+			field("previous_era", r.era), field("previous_revision", r.revision), field("listed", read.List))
 	}
 	r.era = changes.Era
 }
@@ -129,7 +132,6 @@
 	r.sidecar.node.ResumeReading()
 	r.revision = r.sidecar.node.StoreVersion().Revision
 	r.sidecar.mu.Unlock()
-	r.listed = r.revision > 0
 }
 
 // handleError logs the first of several consecutive failures and waits before the next
@@ -155,31 +157,11 @@
 	}
 }
 
-// applyChanges applies the result of a read. complete means that it is a complete
-// listing, recovered that the store responds again after an outage.
-func (s *Sidecar) applyChanges(changes store.Changes, complete, recovered bool) {
+// applyChanges applies the result of a read and logs what changed. recovered means that
+// the store responds again after an outage.
+func (s *Sidecar) applyChanges(read mesh.StoreRead, changes store.Changes, recovered bool) {
 	s.mu.Lock()
-	now := s.now()
-	r := s.node.Registry()
-	r.MarkStoreUp(now)
-	s.node.StoreAnswered(now)
-	var inForce []*route.Table
-	for _, t := range changes.Tables {
-		if s.node.SetTable(now, t) {
-			inForce = append(inForce, t)
-		}
-	}
-	// A listing may be older than the state received from other nodes. In this case it
-	// only adds upstreams and removes none.
-	if complete && changes.Revision >= r.Revision() {
-		r.Replace(now, changes.Upstreams, changes.Revision)
-	} else {
-		r.Apply(now, changes.Upstreams)
-		r.AdvanceRevision(changes.Revision)
-	}
-	if complete || len(changes.Upstreams) > 0 {
-		s.node.RegistryChanged()
-	}
+	inForce := s.node.ApplyRead(s.now(), read, changes)
 	s.mu.Unlock()
 	if recovered {
 		s.log.Info("store regained", field("revision", changes.Revision), field("era", changes.Era))
