--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -33,6 +33,9 @@
 	// Born distinguishes runs of an upstream; a later run has a higher value. It
 	// is 0 if the entry does not state it.
 	Born int64
+	// Sequence counts the writes of the entry since Born, 0 if the entry does not state
+	// it.
+	Sequence int64
 	// Revision is the store revision of the entry.
 	Revision uint64
 }
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -190,7 +190,7 @@
 		s.log.Info("upstream removed", field("upstream", change.ID), field("revision", change.Revision), field("from", from))
 	case change.Upstream != nil:
 		s.log.Info("upstream registered", field("upstream", change.ID), field("service", change.Upstream.Service),
-			field("address", change.Upstream.Address), field("draining", change.Upstream.Draining), field("revision", change.Revision),
-			field("from", from))
+			field("address", change.Upstream.Address), field("draining", change.Upstream.Draining), field("born", change.Upstream.Born),
+			field("sequence", change.Upstream.Sequence), field("revision", change.Revision), field("from", from))
 	}
 }
