Order what the store says by its era before its revision

Cause: a store that comes back from an older copy gives its revisions out again. A node went on from its last revision and compared revisions of both eras. If the store had passed that revision again, the watch skipped what was written below it, a table among it; after a 410 the listing counted as older than the node's state, so that its registrations were left out and drained upstreams came back. Class: a position in a history that was replaced, compared with positions in the new one. Change: a position is an era and a revision. A watch answered in another era is discarded and followed by a listing, also where nodes take their state from each other. In a new era the content of an entry decides (start of the run, count of writes), since the copy may be older than what is known; what is missing has the grace period of an outage to return; removed entries are remembered for a minute. The wire between nodes changes: a heartbeat has one field more, so nodes of both versions do not hear each other.

--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -58,7 +58,7 @@
 		a.peer.recordLoad(now, o.Load)
 	}
 	if o.Reason == ReasonMoved {
-		n.registry.RemoveMoved(a.upstream.ID)
+		n.registry.RemoveMoved(now, a.upstream.ID)
 		n.RegistryChanged()
 	}
 	g := &n.outlierGroup(c.Service).targets
--- a/core/mesh/catchup.go
+++ b/core/mesh/catchup.go
@@ -17,36 +17,50 @@
 	Upstreams []registry.Upstream
 	// Present holds the IDs of all registrations.
 	Present []string
-	// Revision is the store revision up to which the registrations are current. Digest
-	// identifies their set; see registryDigest.
+	// Removals holds the registrations that were removed recently. It is sent to a node
+	// whose state is of another era of the store.
+	Removals []registry.Upstream
+	// Era and Revision are the position of the store up to which the registrations are
+	// current. Digest identifies their set; see registryDigest.
+	Era      uint64
 	Revision uint64
 	Digest   uint32
 }
 
+// Position returns the position of the store up to which the registrations are current.
+func (s StoreState) Position() registry.Position {
+	return registry.Position{Era: s.Era, Revision: s.Revision}
+}
+
 // StoreVersion is the version of the store's content that a node holds.
 type StoreVersion struct {
 	Version  route.Version
-	Revision uint64
+	Position registry.Position
 }
 
 // StoreVersion returns the version of the store's content that this node holds.
 func (n *Node) StoreVersion() StoreVersion {
-	known := StoreVersion{Revision: n.registry.Revision()}
+	known := StoreVersion{Position: n.registry.Position()}
 	if n.table != nil {
 		known.Version = n.table.Version
 	}
 	return known
 }
 
-// StateSince returns the part of this node's store state that is newer than known.
+// StateSince returns the part of this node's store state that is newer than known. If
+// known is of another era, that is all of it.
 func (n *Node) StateSince(now time.Duration, known StoreVersion) StoreState {
-	state := StoreState{Revision: n.registry.Revision(), Digest: registryDigest(n.registry)}
+	position := n.registry.Position()
+	state := StoreState{Era: position.Era, Revision: position.Revision, Digest: registryDigest(n.registry)}
 	if n.table != nil && n.table.Version > known.Version {
 		state.Table = n.table
 	}
+	if position.Era != known.Position.Era {
+		state.Removals = n.registry.Removals()
+	}
 	n.registry.ForEach(func(u *registry.Upstream) {
 		state.Present = append(state.Present, u.ID)
-		if u.Revision <= known.Revision {
+		if u.Era == known.Position.Era && u.Revision <= known.Position.Revision {
 			return
 		}
 		changed := *u
@@ -65,14 +79,15 @@
 	newest := n.StoreVersion()
 	for _, p := range n.peers {
 		alive := p.heartbeatAt > 0 && !p.silent(now) && !p.heartbeat.Leaving
-		newer := p.heartbeat.Version > newest.Version || p.heartbeat.Version == newest.Version && p.heartbeat.Revision > newest.Revision
+		newer := p.heartbeat.Version > newest.Version || p.heartbeat.Version == newest.Version && p.heartbeat.Position().After(newest.Position)
 		if alive && newer {
-			instance, newest.Version, newest.Revision = p.instance, p.heartbeat.Version, p.heartbeat.Revision
+			instance, newest = p.instance, StoreVersion{p.heartbeat.Version, p.heartbeat.Position()}
 		}
 	}
-	if reader := n.firstPrecedingReader(now); instance == "" && reader != nil && reader.heartbeat.Revision >= newest.Revision && reader.heartbeat.RegistryDigest != n.adoptedDigest {
+	reader := n.firstPrecedingReader(now)
+	if instance == "" && reader != nil && !newest.Position.After(reader.heartbeat.Position()) && reader.heartbeat.RegistryDigest != n.adoptedDigest {
 		// The reader has removed a registration that did not return after an outage.
-		// This changes the digest but not the revision.
+		// This changes the digest but not the position.
 		instance = reader.instance
 	}
 	return instance, instance != ""
@@ -94,20 +109,21 @@
 	if state.Table != nil && n.SetTable(now, state.Table) {
 		changes.Table = state.Table
 	}
-	known := n.registry.Revision()
-	if state.Revision < known || state.Revision == known && state.Digest == n.adoptedDigest {
+	order := state.Position().Compare(n.registry.Position())
+	if order < 0 || order == 0 && state.Digest == n.adoptedDigest {
 		return changes
 	}
 	n.adoptedDigest = state.Digest
+	n.registry.LearnRemovals(now, state.Removals)
 	for i := range state.Upstreams {
 		u := state.Upstreams[i]
 		if u.ColdUntil > 0 {
 			u.ColdUntil += now
 		}
-		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: u.ID, Revision: u.Revision, Upstream: &u})
+		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: u.ID, Era: u.Era, Revision: u.Revision, Upstream: &u})
 	}
-	for _, id := range n.registry.MergePeerState(now, changes.Upstreams, state.Present, state.Revision) {
-		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: id, Revision: state.Revision, Removed: true})
+	for _, id := range n.registry.MergePeerState(now, changes.Upstreams, state.Present, state.Position()) {
+		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: id, Era: state.Era, Revision: state.Revision, Removed: true})
 	}
 	n.RegistryChanged()
 	return changes
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/core/route"
 )
 
@@ -49,7 +50,8 @@
 	Leaving bool
 	// Version is the version of the routing table in force.
 	Version route.Version
-	// Revision is the store revision up to which the node is current.
+	// Era and Revision are the position of the store up to which the node is current.
+	Era      uint64
 	Revision uint64
 	// RegistryDigest identifies the set of known registrations; see registryDigest.
 	RegistryDigest uint32
@@ -133,7 +135,7 @@
 func (n *Node) Heartbeat(now time.Duration) Heartbeat {
 	window := n.budget.bounds.Window
 	h := Heartbeat{
-		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Revision: n.registry.Revision(),
+		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Era: n.registry.Position().Era, Revision: n.registry.Position().Revision,
 		RegistryDigest: n.digest, ReadsStore: n.readsStore(now), Service: n.cfg.Service, Load: n.Load(), FaultShare: float32(n.faults.share),
 		FirstRuns: float32(n.arrivals.firstRuns.sum(now, window)), Retries: float32(n.arrivals.retries.sum(now, window)),
 		Routes: n.runTimes.stats(), Roots: n.usage.stats(), Demand: n.admission.stats(), Crashes: n.crashStats(),
@@ -144,6 +146,11 @@
 	return h
 }
 
+// Position returns the position of the store up to which the node is current.
+func (h Heartbeat) Position() registry.Position {
+	return registry.Position{Era: h.Era, Revision: h.Revision}
+}
+
 // DueHeartbeat is a heartbeat that is due to be sent to one instance.
 type DueHeartbeat struct {
 	Instance string
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -52,10 +52,10 @@
 	// storeAnsweredAt is the time of the last answer of the store, 0 if it does not
 	// answer or this node does not read it.
 	storeAnsweredAt time.Duration
-	// storeListed is set if this node knows the content of the store at revision
+	// storeListed is set if this node knows the content of the store at position
 	// watchFrom, so that its next read is a watch from there and not a listing.
 	storeListed bool
-	watchFrom   uint64
+	watchFrom   registry.Position
 	// following is set while this node leaves reading the store to others.
 	following bool
 	// digest identifies the set of known registrations, and adoptedDigest the set last
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -33,13 +33,13 @@
 	n.registry.ClearOutage()
 }
 
-// ResumeReading records that this node reads the store again, from the revision that it
+// ResumeReading records that this node reads the store again, from the position that it
 // reached while it followed other nodes. While the store answers, it ignores the store
 // state of other nodes, which may be cut off from the store themselves.
 func (n *Node) ResumeReading() {
 	n.following = false
-	n.watchFrom = n.registry.Revision()
-	n.storeListed = n.watchFrom > 0
+	n.watchFrom = n.registry.Position()
+	n.storeListed = n.watchFrom.Revision > 0
 }
 
 // learnsFromPeers reports whether this node takes the store state from other nodes.
--- a/core/mesh/store_reads.go
+++ b/core/mesh/store_reads.go
@@ -3,14 +3,21 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/core/route"
 	"github.com/shallotspool/shallotspool/core/store"
 )
 
-// StoreRead is one read of the store: a complete listing, or a watch from a revision.
+// ErrStoreRestored is returned for a read whose result is of another era of the store than
+// the node relies on. The result must not be used; the next read is a listing.
+var ErrStoreRestored = errors.New("the store was restored")
+
+// StoreRead is one read of the store: a complete listing, or a watch from a position.
 type StoreRead struct {
 	List  bool
-	After uint64
+	After registry.Position
 }
 
 // NextRead returns the next read of the store that this node needs.
@@ -21,12 +28,19 @@
 func (n *Node) HistoryGone() { n.storeListed = false }
 
 // ApplyRead applies the result of a read of the store and returns the tables that came
-// into force.
-func (n *Node) ApplyRead(now time.Duration, read StoreRead, changes store.Changes) (inForce []*route.Table) {
+// into force. It returns ErrStoreRestored for a watch that was answered in another era
+// than it started from, because changes may be missing, and for a listing of an era
+// before the one that this node knows.
+func (n *Node) ApplyRead(now time.Duration, read StoreRead, changes store.Changes) (inForce []*route.Table, err error) {
 	r := n.registry
+	position := changes.Position()
+	if !read.List && position.Era != read.After.Era || position.Era < r.Position().Era {
+		n.storeListed = false
+		return nil, ErrStoreRestored
+	}
 	r.MarkStoreUp(now)
 	n.StoreAnswered(now)
-	n.storeListed, n.watchFrom = true, changes.Revision
+	n.storeListed, n.watchFrom = true, position
 	for _, t := range changes.Tables {
 		if n.SetTable(now, t) {
 			inForce = append(inForce, t)
@@ -34,14 +48,14 @@
 	}
 	// A listing may be older than the state received from other nodes. In this case it
 	// only adds upstreams and removes none.
-	if read.List && changes.Revision >= r.Revision() {
-		r.Replace(now, changes.Upstreams, changes.Revision)
+	if read.List && !r.Position().After(position) {
+		r.Replace(now, changes.Upstreams, position)
 	} else {
 		r.Apply(now, changes.Upstreams)
-		r.AdvanceRevision(changes.Revision)
+		r.Advance(now, position)
 	}
 	if read.List || len(changes.Upstreams) > 0 {
 		n.RegistryChanged()
 	}
-	return inForce
+	return inForce, nil
 }
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -36,19 +36,26 @@
 	// Sequence counts the writes of the entry since Born, 0 if the entry does not state
 	// it.
 	Sequence int64
-	// Revision is the store revision of the entry.
+	// Revision is the store revision of the entry, and Era the era that it belongs to.
 	Revision uint64
+	Era      uint64
 }
 
+// Position returns the position of the entry in the history of the store.
+func (u *Upstream) Position() Position { return Position{u.Era, u.Revision} }
+
 // Change is one change of an entry. If Upstream is nil and Removed is false, the
 // entry does not describe a usable upstream.
 type Change struct {
 	ID       string
+	Era      uint64
 	Revision uint64
 	Removed  bool
 	Upstream *Upstream
 }
 
+func (c Change) position() Position { return Position{c.Era, c.Revision} }
+
 // ReturnGracePeriod is how long after the end of a store outage an entry that
 // lapsed during the outage may take to return. The platform's discovery page
 // specifies this time.
@@ -65,6 +72,9 @@
 	// removed at removeAt, or at the end of a later grace period.
 	lapsed   bool
 	removeAt time.Duration
+	// missingAtPeer is true if the entry lapsed because another node does not have it.
+	// It is then removed at removeAt, even during an outage.
+	missingAtPeer bool
 }
 
 // Registry is the set of known upstreams.
@@ -73,21 +83,24 @@
 	// byService holds the upstreams by service name; of several entries with the
 	// same address it contains only the newest.
 	byService map[string][]*Upstream
-	// movedRevisions maps the ID of an entry whose address now belongs to
-	// another upstream to the entry's revision at that time.
-	movedRevisions map[string]uint64
-	// revision is the newest store revision applied.
-	revision uint64
+	// removals holds the entries that were removed, or whose address belongs to another
+	// upstream, by ID.
+	removals map[string]removal
+	// position is the newest position of the store that was applied.
+	position Position
 	// storeDown is true while the store does not answer. graceEndsAt is when
 	// entries that lapsed during the last outage must be back.
 	storeDown   bool
 	graceEndsAt time.Duration
+	// restoreGraceEndsAt is when entries that the store lost in its last restore must be
+	// back.
+	restoreGraceEndsAt time.Duration
 }
 
 // New returns an empty Registry.
 func New() *Registry {
 	return &Registry{
-		entries: map[string]*entry{}, byService: map[string][]*Upstream{}, movedRevisions: map[string]uint64{},
+		entries: map[string]*entry{}, byService: map[string][]*Upstream{}, removals: map[string]removal{},
 	}
 }
 
@@ -102,9 +115,10 @@
 func (r *Registry) StoreDown() bool { return r.storeDown }
 
 // MergePeerState applies the state of another node: the changes since this node was
-// last current, and the IDs of all entries present. It removes all other entries
-// and returns their IDs, sorted.
-func (r *Registry) MergePeerState(now time.Duration, changed []Change, present []string, revision uint64) (removed []string) {
+// last current, and the IDs of all entries present. It removes all other entries, after
+// a grace period if the store was restored, and returns their IDs, sorted.
+func (r *Registry) MergePeerState(now time.Duration, changed []Change, present []string, position Position) (removed []string) {
+	r.Advance(now, position)
 	for _, c := range changed {
 		r.upsert(now, c)
 	}
@@ -113,17 +127,39 @@
 		listed[id] = true
 	}
 	for id := range r.entries {
-		if !listed[id] {
-			delete(r.entries, id)
+		if !listed[id] && r.removeMissingAtPeer(now, id) {
 			removed = append(removed, id)
 		}
 	}
 	slices.Sort(removed)
-	r.revision = max(r.revision, revision)
 	r.rebuildIndex()
 	return removed
 }
 
+// removeMissingAtPeer deletes an entry that another node does not have and reports whether
+// it did. After a restore of the store it marks the entry as lapsed instead.
+func (r *Registry) removeMissingAtPeer(now time.Duration, id string) (deleted bool) {
+	e := r.entries[id]
+	if now < r.restoreGraceEndsAt {
+		e.lapsed, e.missingAtPeer, e.removeAt = true, true, r.restoreGraceEndsAt
+		return false
+	}
+	r.rememberRemoval(now, e.Upstream, 0)
+	delete(r.entries, id)
+	return true
+}
+
+// Advance records that all changes up to a position of the store are applied. In a new era, entries
+// that are missing from the store have a grace period to return, because the upstreams
+// have to write again what the store lost.
+func (r *Registry) Advance(now time.Duration, position Position) {
+	if position.Era > r.position.Era && len(r.entries) > 0 {
+		r.restoreGraceEndsAt = now + ReturnGracePeriod
+		r.graceEndsAt = max(r.graceEndsAt, r.restoreGraceEndsAt)
+	}
+	r.position = r.position.max(position)
+}
+
 // MarkStoreUp records that the store answers again. After an outage it starts the
 // grace period for lapsed entries.
 func (r *Registry) MarkStoreUp(now time.Duration) {
@@ -136,7 +172,8 @@
 // Replace applies a complete listing. Entries that are not in it are removed
 // immediately or, during an outage and its grace period, once they had time to
 // return.
-func (r *Registry) Replace(now time.Duration, list []Change, revision uint64) {
+func (r *Registry) Replace(now time.Duration, list []Change, position Position) {
+	r.Advance(now, position)
 	listed := make(map[string]bool, len(list))
 	for _, c := range list {
 		listed[c.ID] = true
@@ -144,71 +181,96 @@
 	}
 	for id := range r.entries {
 		if !listed[id] {
-			r.remove(now, id)
+			r.remove(now, id, 0)
 		}
 	}
-	r.revision = max(r.revision, revision)
 	r.rebuildIndex()
 }
 
 // Apply applies changes in the order in which the store reported them. It skips
-// changes that are not newer than the current revision.
+// changes that are not newer than the current position.
 func (r *Registry) Apply(now time.Duration, changes []Change) {
 	for _, c := range changes {
-		if c.Revision != 0 && c.Revision <= r.revision {
+		if c.Revision != 0 && !c.position().After(r.position) {
 			continue
 		}
-		r.revision = max(r.revision, c.Revision)
+		r.Advance(now, c.position())
 		if c.Removed {
-			r.remove(now, c.ID)
+			r.remove(now, c.ID, c.Revision)
 			continue
 		}
+		// The upstream wrote this after the store was restored.
+		if removed, known := r.removals[c.ID]; known && removed.Era != c.Era {
+			delete(r.removals, c.ID)
+		}
 		r.upsert(now, c)
 	}
 	r.rebuildIndex()
 }
 
-// upsert stores the upstream of a change, or deletes the entry if the change has
-// none. It skips an entry that moved and has not changed since, and a new entry
-// beyond maxUpstreams.
+// upsert stores the upstream of a change, or removes the entry if the change has
+// none. It skips an entry that was removed and has not changed since, and a new entry
+// beyond maxUpstreams. An entry that the upstream wrote before the known one only
+// confirms that the known one is in the store.
 func (r *Registry) upsert(now time.Duration, c Change) {
 	if c.Upstream == nil {
-		delete(r.entries, c.ID)
+		r.removeUnusable(now, c)
 		return
 	}
-	if revision, moved := r.movedRevisions[c.ID]; moved && c.Revision <= revision {
+	u := *c.Upstream
+	u.Era, u.Revision = c.Era, max(u.Revision, c.Revision)
+	if r.returnsRemoved(&u) {
 		return
 	}
-	delete(r.movedRevisions, c.ID)
-	if r.entries[c.ID] == nil && len(r.entries) >= maxUpstreams {
+	delete(r.removals, c.ID)
+	known := r.entries[c.ID]
+	switch {
+	case known == nil && len(r.entries) >= maxUpstreams:
+	case known == nil || u.supersedes(&known.Upstream):
+		r.entries[c.ID] = &entry{Upstream: u}
+	default:
+		known.lapsed, known.missingAtPeer = false, false
+		if u.Position().After(known.Position()) {
+			known.Era, known.Revision = u.Era, u.Revision
+		}
+	}
+}
+
+// removeUnusable removes the entry of a change that describes no usable upstream. In an
+// older copy of the store that may be what the upstream has replaced since.
+func (r *Registry) removeUnusable(now time.Duration, c Change) {
+	e := r.entries[c.ID]
+	if e != nil && e.Era != c.Era {
+		r.remove(now, c.ID, c.Revision)
 		return
 	}
-	e := &entry{Upstream: *c.Upstream}
-	e.Revision = max(e.Revision, c.Revision)
-	r.entries[c.ID] = e
+	delete(r.entries, c.ID)
 }
 
-// remove deletes an entry, or marks it as lapsed during an outage and its grace
-// period.
-func (r *Registry) remove(now time.Duration, id string) {
+// remove deletes an entry and reports whether it did. During an outage and its grace
+// period it marks the entry as lapsed instead. revision is that of the removal, 0 if it
+// is not known.
+func (r *Registry) remove(now time.Duration, id string, revision uint64) (deleted bool) {
 	e := r.entries[id]
 	switch {
 	case e == nil || e.lapsed:
+		return false
 	case r.storeDown || now < r.graceEndsAt:
 		e.lapsed, e.removeAt = true, r.graceEndsAt
-	default:
-		delete(r.entries, id)
+		return false
 	}
+	r.rememberRemoval(now, e.Upstream, revision)
+	delete(r.entries, id)
+	return true
 }
 
 // Tick removes the lapsed entries that did not return in time and returns their
 // IDs, sorted.
 func (r *Registry) Tick(now time.Duration) (removed []string) {
-	if r.storeDown {
-		return nil
-	}
+	r.forgetRemovals(now)
 	for id, e := range r.entries {
-		if e.lapsed && now >= max(e.removeAt, r.graceEndsAt) {
+		if e.lapsed && r.graceOver(now, e) {
+			r.rememberRemoval(now, e.Upstream, 0)
 			delete(r.entries, id)
 			removed = append(removed, id)
 		}
@@ -220,28 +282,33 @@
 	return removed
 }
 
+// graceOver reports whether a lapsed entry had its time to return.
+func (r *Registry) graceOver(now time.Duration, e *entry) bool {
+	if e.missingAtPeer {
+		return now >= e.removeAt
+	}
+	return !r.storeDown && now >= max(e.removeAt, r.graceEndsAt)
+}
+
 // RemoveMoved removes an entry because another upstream answers at its address.
 // The entry is accepted again once it changes.
-func (r *Registry) RemoveMoved(id string) {
+func (r *Registry) RemoveMoved(now time.Duration, id string) {
 	e := r.entries[id]
 	if e == nil {
 		return
 	}
-	if len(r.movedRevisions) >= maxUpstreams {
-		clear(r.movedRevisions)
-	}
-	r.movedRevisions[id] = e.Revision
+	r.rememberRemoval(now, e.Upstream, e.Revision)
 	delete(r.entries, id)
 	r.rebuildIndex()
 }
 
 // rebuildIndex rebuilds the lists by service, each sorted by ID. Of several
-// entries with the same address the one with the highest revision is used.
+// entries with the same address the newest is used.
 func (r *Registry) rebuildIndex() {
 	clear(r.byService)
 	newest := make(map[string]*entry, len(r.entries))
 	for _, e := range r.entries {
-		if current := newest[e.Address]; current == nil || e.Revision > current.Revision {
+		if current := newest[e.Address]; current == nil || e.takesAddress(&current.Upstream) {
 			newest[e.Address] = e
 		}
 	}
@@ -282,9 +349,5 @@
 // Len returns the number of known upstreams.
 func (r *Registry) Len() int { return len(r.entries) }
 
-// AdvanceRevision records that all changes up to a store revision have been
-// applied.
-func (r *Registry) AdvanceRevision(revision uint64) { r.revision = max(r.revision, revision) }
-
-// Revision returns the store revision up to which the Registry is current.
-func (r *Registry) Revision() uint64 { return r.revision }
+// Position returns the position of the store up to which the Registry is current.
+func (r *Registry) Position() Position { return r.position }
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -35,6 +35,11 @@
 	Invalid []InvalidValue
 }
 
+// Position returns the position of the store up to which the changes are complete.
+func (c Changes) Position() registry.Position {
+	return registry.Position{Era: c.Era, Revision: c.Revision}
+}
+
 // InvalidValue describes a value that could not be decoded. An invalid routing table
 // leaves the previous one in use; an upstream whose registration is invalid is no
 // longer used.
@@ -47,9 +52,10 @@
 
 // Reader reads a store. Its errors wrap ErrUnavailable or ErrRevisionGone.
 type Reader interface {
-	// List returns the complete content of the store.
+	// List returns the complete content of the store. It fails if the store was restored
+	// while it was listed.
 	List() (Changes, error)
-	// Watch returns the changes after a revision. If there are none yet, it waits for
+	// Watch returns the changes after a revision of the era that the result states. If there are none yet, it waits for
 	// the next one, but no longer than the duration wait. slack is the additional time
 	// allowed for the response.
 	Watch(after uint64, wait, slack time.Duration) (Changes, error)
--- a/harness/loadpattern/world.go
+++ b/harness/loadpattern/world.go
@@ -220,7 +220,7 @@
 	}
 	for _, n := range w.nodes {
 		n.mesh.SetTable(0, table)
-		n.mesh.Registry().Replace(0, entries, 1)
+		n.mesh.Registry().Replace(0, entries, registry.Position{Revision: 1})
 		n.mesh.RegistryChanged()
 	}
 }
--- a/node/sidecar/state_sync.go
+++ b/node/sidecar/state_sync.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/mesh"
+	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/core/route"
 	"github.com/shallotspool/shallotspool/node/internal/listener"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
@@ -20,9 +21,10 @@
 	// statePath is the path at which a node serves its copy of the store's state to
 	// other nodes.
 	statePath = "/shallot/state"
-	// versionParam and revisionParam are the query parameters with the table version
-	// and the store revision that the requesting node already has.
+	// versionParam, eraParam and revisionParam are the query parameters with the table
+	// version and the position of the store that the requesting node already has.
 	versionParam  = "version"
+	eraParam      = "era"
 	revisionParam = "revision"
 	// stateSyncInterval is how often a node that does not read the store looks for a
 	// node with newer state. It allows several tries within the one second that callers
@@ -81,7 +83,8 @@
 	req.Header.SetHost(p.Address())
 	var args fasthttp.Args
 	args.SetUint(versionParam, int(known.Version))
-	args.SetUint(revisionParam, int(known.Revision))
+	args.SetUint(eraParam, int(known.Position.Era))
+	args.SetUint(revisionParam, int(known.Position.Revision))
 	req.Header.SetRequestURI(statePath + "?" + args.String())
 	_ = conn.SetDeadline(time.Now().Add(stateTimeout))
 	if err := conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: maxStateBytes}); err != nil {
@@ -113,14 +116,17 @@
 func (s *Sidecar) serveState(_ context.Context, x *listener.Exchange) {
 	args := x.Request.URI().QueryArgs()
 	version, err1 := args.GetUint(versionParam)
-	revision, err2 := args.GetUint(revisionParam)
-	if err1 != nil || err2 != nil {
-		s.log.Warn("invalid state request from node", field("address", x.RemoteIP), field("error", errors.CombineErrors(err1, err2)))
+	era, err2 := args.GetUint(eraParam)
+	revision, err3 := args.GetUint(revisionParam)
+	if err := errors.CombineErrors(err1, errors.CombineErrors(err2, err3)); err != nil {
+		s.log.Warn("invalid state request from node", field("address", x.RemoteIP), field("error", err))
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
-	state := s.node.StateSince(s.now(), mesh.StoreVersion{Version: route.Version(version), Revision: uint64(revision)})
+	state := s.node.StateSince(s.now(), mesh.StoreVersion{
+		Version: route.Version(version), Position: registry.Position{Era: uint64(era), Revision: uint64(revision)},
+	})
 	s.mu.Unlock()
 	encoded, err := cbor.Marshal(state)
 	if err != nil {
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -63,9 +63,9 @@
 type storeReadLoop struct {
 	sidecar              *Sidecar
 	available, following bool
-	// revision and era are those of the last successful read.
-	revision, era uint64
-	backoff       time.Duration
+	// position is that of the last successful read.
+	position registry.Position
+	backoff  time.Duration
 }
 
 // followReaders makes the node follow the nodes that read the store, unless it already
@@ -76,7 +76,7 @@
 		r.sidecar.mu.Lock()
 		r.sidecar.node.FollowReaders()
 		r.sidecar.mu.Unlock()
-		r.sidecar.log.Info("store left to other nodes", field("revision", r.revision))
+		r.sidecar.log.Info("store left to other nodes", field("era", r.position.Era), field("revision", r.position.Revision))
 	}
 	r.sidecar.sleepWithJitter(followPollInterval)
 }
@@ -86,7 +86,7 @@
 	if r.following {
 		r.following = false
 		r.resumeReading()
-		r.sidecar.log.Info("store read again", field("revision", r.revision))
+		r.sidecar.log.Info("store read again", field("era", r.position.Era), field("revision", r.position.Revision))
 	}
 	r.sidecar.mu.Lock()
 	read := r.sidecar.node.NextRead()
@@ -96,18 +96,23 @@
 	if read.List {
 		changes, err = r.sidecar.store.List()
 	} else {
-		changes, err = r.sidecar.store.Watch(read.After, watchTimeout, watchResponseSlack)
+		changes, err = r.sidecar.store.Watch(read.After.Revision, watchTimeout, watchResponseSlack)
+	}
+	if err == nil {
+		err = r.sidecar.applyChanges(read, changes, !r.available)
 	}
 	switch {
 	case err == nil:
-		r.logRestore(read, changes)
-		r.sidecar.applyChanges(read, changes, !r.available)
-		if !read.List && changes.Revision > r.revision {
+		if !read.List && changes.Position().After(r.position) {
 			r.sidecar.sleepWithJitter(batchDelay)
 		}
-		r.available, r.backoff, r.revision = true, minBackoff, changes.Revision
+		r.available, r.backoff, r.position = true, minBackoff, changes.Position()
+	case errors.Is(err, mesh.ErrStoreRestored):
+		r.sidecar.log.Warn("store restored", field("era", changes.Era), field("revision", changes.Revision),
+			field("previous_era", r.position.Era), field("previous_revision", r.position.Revision), field("listed", read.List))
+		r.sidecar.sleepWithJitter(minBackoff)
 	case errors.Is(err, store.ErrRevisionGone):
-		r.sidecar.log.Warn("store history gone", field("revision", r.revision))
+		r.sidecar.log.Warn("store history gone", field("era", r.position.Era), field("revision", r.position.Revision))
 		r.sidecar.mu.Lock()
 		r.sidecar.node.HistoryGone()
 		r.sidecar.mu.Unlock()
@@ -116,21 +121,12 @@
 	}
 }
 
-// logRestore logs that the store was restored from an older copy since the last read.
-func (r *storeReadLoop) logRestore(read mesh.StoreRead, changes store.Changes) {
-	if r.era != 0 && changes.Era != r.era {
-		r.sidecar.log.Warn("store restored", field("era", changes.Era), field("revision", changes.Revision),
-			field("previous_era", r.era), field("previous_revision", r.revision), field("listed", read.List))
-	}
-	r.era = changes.Era
-}
-
-// resumeReading continues from the revision that this node reached while it followed
+// resumeReading continues from the position that this node reached while it followed
 // other nodes.
 func (r *storeReadLoop) resumeReading() {
 	r.sidecar.mu.Lock()
 	r.sidecar.node.ResumeReading()
-	r.revision = r.sidecar.node.StoreVersion().Revision
+	r.position = r.sidecar.node.StoreVersion().Position
 	r.sidecar.mu.Unlock()
 }
 
@@ -139,7 +135,7 @@
 func (r *storeReadLoop) handleError(err error) {
 	if r.available {
 		r.available = false
-		r.sidecar.log.Warn("store lost", field("revision", r.revision), field("error", err))
+		r.sidecar.log.Warn("store lost", field("era", r.position.Era), field("revision", r.position.Revision), field("error", err))
 		r.sidecar.markStoreLost()
 	}
 	r.sidecar.sleepWithJitter(r.backoff)
@@ -158,11 +154,14 @@
 }
 
 // applyChanges applies the result of a read and logs what changed. recovered means that
-// the store responds again after an outage.
-func (s *Sidecar) applyChanges(read mesh.StoreRead, changes store.Changes, recovered bool) {
+// the store responds again after an outage. Its error is mesh.ErrStoreRestored.
+func (s *Sidecar) applyChanges(read mesh.StoreRead, changes store.Changes, recovered bool) error {
 	s.mu.Lock()
-	inForce := s.node.ApplyRead(s.now(), read, changes)
+	inForce, err := s.node.ApplyRead(s.now(), read, changes)
 	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
 	if recovered {
 		s.log.Info("store regained", field("revision", changes.Revision), field("era", changes.Era))
 	}
@@ -176,6 +175,7 @@
 	for _, change := range changes.Upstreams {
 		s.logUpstream(change, sourceStore)
 	}
+	return nil
 }
 
 // sourceStore is the value of the log field "from" for changes that were read from the
@@ -187,10 +187,10 @@
 func (s *Sidecar) logUpstream(change registry.Change, from string) {
 	switch {
 	case change.Removed:
-		s.log.Info("upstream removed", field("upstream", change.ID), field("revision", change.Revision), field("from", from))
+		s.log.Info("upstream removed", field("upstream", change.ID), field("era", change.Era), field("revision", change.Revision), field("from", from))
 	case change.Upstream != nil:
 		s.log.Info("upstream registered", field("upstream", change.ID), field("service", change.Upstream.Service),
 			field("address", change.Upstream.Address), field("draining", change.Upstream.Draining), field("born", change.Upstream.Born),
-			field("sequence", change.Upstream.Sequence), field("revision", change.Revision), field("from", from))
+			field("sequence", change.Upstream.Sequence), field("era", change.Era), field("revision", change.Revision), field("from", from))
 	}
 }
