Take a newer table from other nodes also while the store answers

Cause: a node whose store answers takes nothing from other nodes, so an older table in the copy is in force there until the operator has written the newer one again. Change: a node that reads the store asks a node with a newer table for it if the store has not delivered it within half a second. Versions order tables, so nothing goes back; registrations still come from the store alone. Result: TestReaderTakesNewerTableOfPeer failed before (version 1, want 7) and passes; go test ./core/mesh passed.

--- a/core/mesh/catchup.go
+++ b/core/mesh/catchup.go
@@ -70,19 +70,25 @@
 	return state
 }
 
+// newerTableDelay is how long a node that reads the store waits for a table from there
+// that another node already has.
+const newerTableDelay = 500 * time.Millisecond
+
 // NewerPeer returns the instance whose store state this node should fetch. ok is false if
-// this node takes its state from the store itself or no instance has a newer one.
+// there is none. A node that takes its state from the store itself needs only a newer
+// table: a store that was restored from a copy may lack it.
 func (n *Node) NewerPeer(now time.Duration) (instance string, ok bool) {
+	known := n.StoreVersion()
+	instance, newest := n.newestPeer(now, known)
 	if !n.learnsFromPeers() {
-		return "", false
-	}
-	newest := n.StoreVersion()
-	for _, p := range n.peers {
-		alive := p.heartbeatAt > 0 && !p.silent(now) && !p.heartbeat.Leaving
-		newer := p.heartbeat.Version > newest.Version || p.heartbeat.Version == newest.Version && p.heartbeat.Position().After(newest.Position)
-		if alive && newer {
-			instance, newest = p.instance, StoreVersion{p.heartbeat.Version, p.heartbeat.Position()}
+		if newest.Version <= known.Version {
+			n.behindSince = 0
+			return "", false
+		}
+		if n.behindSince == 0 {
+			n.behindSince = now
 		}
+		return instance, now >= n.behindSince+newerTableDelay
 	}
 	reader := n.firstPrecedingReader(now)
 	if instance == "" && reader != nil && !newest.Position.After(reader.heartbeat.Position()) && reader.heartbeat.RegistryDigest != n.adoptedDigest {
@@ -93,6 +99,20 @@
 	return instance, instance != ""
 }
 
+// newestPeer returns the live instance with the newest store state after known, and that
+// state's version. It returns known if there is none.
+func (n *Node) newestPeer(now time.Duration, known StoreVersion) (instance string, newest StoreVersion) {
+	newest = known
+	for _, p := range n.peers {
+		alive := p.heartbeatAt > 0 && !p.silent(now) && !p.heartbeat.Leaving
+		newer := p.heartbeat.Version > newest.Version || p.heartbeat.Version == newest.Version && p.heartbeat.Position().After(newest.Position)
+		if alive && newer {
+			instance, newest = p.instance, StoreVersion{p.heartbeat.Version, p.heartbeat.Position()}
+		}
+	}
+	return instance, newest
+}
+
 // StateChanges holds the changes that a node applied from the state of another.
 type StateChanges struct {
 	// Table is the new routing table, nil if the table in force did not change.
@@ -101,14 +121,15 @@
 }
 
 // ApplyState applies the parts of another node's store state that are newer than this
-// node's and returns the changes.
+// node's and returns the changes. A node that takes its state from the store itself
+// applies only a newer table.
 func (n *Node) ApplyState(now time.Duration, state StoreState) (changes StateChanges) {
-	if !n.learnsFromPeers() {
-		return changes
-	}
 	if state.Table != nil && n.SetTable(now, state.Table) {
 		changes.Table = state.Table
 	}
+	if !n.learnsFromPeers() {
+		return changes
+	}
 	order := state.Position().Compare(n.registry.Position())
 	if order < 0 || order == 0 && state.Digest == n.adoptedDigest {
 		return changes
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -56,6 +56,9 @@
 	// watchFrom, so that its next read is a watch from there and not a listing.
 	storeListed bool
 	watchFrom   registry.Position
+	// behindSince is when this node, while it reads the store, learned of a newer table at
+	// another node; 0 if it has the newest.
+	behindSince time.Duration
 	// following is set while this node leaves reading the store to others.
 	following bool
 	// digest identifies the set of known registrations, and adoptedDigest the set last
--- a/core/mesh/readers_test.go
+++ b/core/mesh/readers_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/registry"
+	"github.com/shallotspool/shallotspool/core/route"
 )
 
 // readerFleet is a set of nodes in one data centre that read the store or follow the
@@ -183,3 +184,23 @@
 		}
 	}
 }
+
+// TestReaderTakesNewerTableOfPeer guards against a node that goes on with an older table
+// because it started after the store was restored from a copy, while other nodes have the
+// newer one.
+func TestReaderTakesNewerTableOfPeer(t *testing.T) {
+	f := newReaderFleet(t)
+	f.advance(5)
+	newer := &route.Table{Version: 7, Routes: f.nodes[0].Table().Routes}
+	newer.BuildIndex()
+	reader := f.readers()[0]
+	for _, n := range f.nodes {
+		if n != reader {
+			n.SetTable(f.now, newer)
+		}
+	}
+	f.advance(int(newerTableDelay/HeartbeatInterval) + 2)
+	if got := reader.Table().Version; got != newer.Version || !reader.readsStore(f.now) {
+		t.Errorf("reader has version %d, reads the store %v; want version %d, true", got, reader.readsStore(f.now), newer.Version)
+	}
+}
