Hear a node again that restarted with its clock set back

A node that starts while its clock is ahead and restarts after it was set back is ignored by all others: it gets no work, its store state and crash reports are not heard. Cause: incarnations are times of start on the instance's clock and were only ever allowed to rise. Change: a lower incarnation is accepted once the higher one has missed its heartbeats; a late datagram of an earlier run is still ignored. Result: TestRestartWithClockSetBackIsHeard failed before and passes; go test ./core/mesh passed. The daemon's membership compares incarnations in the same way; not changed.

--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -40,7 +40,8 @@
 type Heartbeat struct {
 	_ struct{} `cbor:",toarray"`
 
-	// Incarnation identifies one run of the node process. It rises with each restart.
+	// Incarnation identifies one run of the node process: the time of its start on the
+	// clock of the instance.
 	Incarnation int64
 	// Interval is the time until the next heartbeat to the same instance.
 	Interval time.Duration
@@ -111,13 +112,14 @@
 func RouteID(r *route.Route) uint32 { return uint32(xxhash.Sum64String(r.Key())) }
 
 // ReceiveHeartbeat processes a heartbeat from another instance. It ignores those of an
-// earlier incarnation.
+// earlier incarnation while the later one sends its own: a node whose clock was set back
+// has a lower incarnation after a restart.
 func (n *Node) ReceiveHeartbeat(now time.Duration, instance string, h Heartbeat) {
 	p := n.peer(instance)
-	if h.Incarnation < p.heartbeat.Incarnation {
+	if h.Incarnation < p.heartbeat.Incarnation && !p.silent(now) {
 		return
 	}
-	if h.Incarnation > p.heartbeat.Incarnation || !h.Leaving {
+	if h.Incarnation != p.heartbeat.Incarnation || !h.Leaving {
 		p.leavingUntil = 0
 	}
 	if h.Leaving {
--- a/core/mesh/heartbeat_test.go
+++ b/core/mesh/heartbeat_test.go
@@ -46,3 +46,21 @@
 		t.Errorf("near capacity: %d full heartbeats, %d partial, want at most 1 partial", full, partial)
 	}
 }
+
+// TestRestartWithClockSetBackIsHeard guards against a node that is ignored by all others
+// after a restart, because its clock was set back and its incarnation is lower than before.
+func TestRestartWithClockSetBackIsHeard(t *testing.T) {
+	nodes := newFleet(t, testRoute("a", true))
+	receiver, sender := nodes[0], nodes[1].cfg.Instance
+	receiver.ReceiveHeartbeat(time.Second, sender, Heartbeat{Incarnation: 200, Interval: HeartbeatInterval, Revision: 1})
+	late := time.Second + 2*HeartbeatInterval
+	receiver.ReceiveHeartbeat(late, sender, Heartbeat{Incarnation: 100, Interval: HeartbeatInterval, Revision: 2})
+	if got := receiver.peer(sender).heartbeat.Revision; got != 1 {
+		t.Errorf("revision %d, want 1: the heartbeat is a late one of an earlier run", got)
+	}
+	restarted := time.Second + (maxMissedHeartbeats+2)*HeartbeatInterval
+	receiver.ReceiveHeartbeat(restarted, sender, Heartbeat{Incarnation: 100, Interval: HeartbeatInterval, Revision: 3})
+	if got := receiver.peer(sender).heartbeat.Revision; got != 3 {
+		t.Errorf("revision %d, want 3: the later run has ended", got)
+	}
+}
