Let the record of a crash end everywhere

Cause: a report had no age, so each of the heartbeats that repeat it renewed the record at its receiver, and expired records were reported too. Change: a report says how long it still counts, in whole seconds rounded down, so that passing it on cannot lengthen it; expired records are dropped first.

--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -8,8 +8,7 @@
 
 const (
 	// crashMemory is how long a crash counts against a request. It exceeds the time
-	// for which callers keep sending the same request. At other nodes it starts again
-	// with each heartbeat that reports the crash.
+	// for which callers keep sending the same request.
 	crashMemory = time.Minute
 	// maxCrashRecords bounds the requests for which crashes are recorded.
 	maxCrashRecords = 4096
@@ -22,6 +21,9 @@
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
 	Crashes     uint8
+	// RemainingSeconds is how long the crashes still count, rounded down, so that a report
+	// that comes back to its sender cannot lengthen a record.
+	RemainingSeconds uint8
 }
 
 // RecordCrash records that the local upstream crashed while it ran w.
@@ -32,18 +34,21 @@
 // recordCrashes records the crashes that another node reports.
 func (n *Node) recordCrashes(now time.Duration, instance string, list []CrashStat) {
 	for _, crash := range list {
-		n.crashRecords.MergeReport(now, instance, crash.Fingerprint, crash.Crashes, crashMemory)
+		n.crashRecords.MergeReport(now, instance, crash.Fingerprint, crash.Crashes, time.Duration(crash.RemainingSeconds)*time.Second)
 	}
 }
 
 // crashStats returns the most recent requests that ran during a crash of the local
-// upstream. They include expired records that are not yet removed.
-func (n *Node) crashStats() []CrashStat {
+// upstream.
+func (n *Node) crashStats(now time.Duration) []CrashStat {
 	var out []CrashStat
+	n.crashRecords.Tick(now)
 	records := n.crashRecords.Records()
 	for i := len(records) - 1; i >= 0 && len(out) < maxHeartbeatCrashes; i-- {
 		if crashes := records[i].Crashes[n.cfg.Instance]; crashes > 0 {
-			out = append(out, CrashStat{Fingerprint: records[i].Fingerprint, Crashes: crashes})
+			out = append(out, CrashStat{
+				Fingerprint: records[i].Fingerprint, Crashes: crashes, RemainingSeconds: uint8((records[i].ExpiresAt - now) / time.Second),
+			})
 		}
 	}
 	return out
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -140,7 +140,7 @@
 		Incarnation: n.cfg.Incarnation, Leaving: n.leaving, Era: n.registry.Position().Era, Revision: n.registry.Position().Revision,
 		RegistryDigest: n.digest, ReadsStore: n.readsStore(now), Service: n.cfg.Service, Load: n.Load(), FaultShare: float32(n.faults.share),
 		FirstRuns: float32(n.arrivals.firstRuns.sum(now, window)), Retries: float32(n.arrivals.retries.sum(now, window)),
-		Routes: n.runTimes.stats(), Roots: n.usage.stats(), Demand: n.admission.stats(), Crashes: n.crashStats(),
+		Routes: n.runTimes.stats(), Roots: n.usage.stats(), Demand: n.admission.stats(), Crashes: n.crashStats(now),
 	}
 	if n.table != nil {
 		h.Version = n.table.Version
--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -112,7 +112,7 @@
 
 // CrashReport returns the state of the crash records.
 func (n *Node) CrashReport(now time.Duration) CrashReport {
-	r := CrashReport{Reported: len(n.crashStats())}
+	r := CrashReport{Reported: len(n.crashStats(now))}
 	for _, record := range n.crashRecords.Records() {
 		r.Held++
 		if n.crashesUpstreams(now, record.Fingerprint) {
