Report all requests that ran at a crash, page by page

Cause: every request that runs when an upstream crashes gets a record, but a heartbeat carried only the eight newest. With more beside it the culprit was mostly left out, so that no other node ever counted two crashes. Class: a bounded report that drops what it was made for, without a trace and always the same part. Change: successive heartbeats to an instance carry successive pages of 40 records, until they end. A heartbeat that would not fit into a datagram is sent without them, and they follow in a partial one.

--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -12,8 +12,9 @@
 	crashMemory = time.Minute
 	// maxCrashRecords bounds the requests for which crashes are recorded.
 	maxCrashRecords = 4096
-	// maxHeartbeatCrashes bounds the crash records in one heartbeat.
-	maxHeartbeatCrashes = 8
+	// maxHeartbeatCrashes bounds the crash records in one heartbeat, at about 13 bytes
+	// each.
+	maxHeartbeatCrashes = 40
 )
 
 // CrashStat reports a request that was running when the node's local upstream crashed.
@@ -38,13 +39,12 @@
 	}
 }
 
-// crashStats returns the most recent requests that ran during a crash of the local
-// upstream.
-func (n *Node) crashStats(now time.Duration) []CrashStat {
-	var out []CrashStat
+// crashStats returns all requests that ran during a crash of the local upstream, the most
+// recent first.
+func (n *Node) crashStats(now time.Duration) (out []CrashStat) {
 	n.crashRecords.Tick(now)
 	records := n.crashRecords.Records()
-	for i := len(records) - 1; i >= 0 && len(out) < maxHeartbeatCrashes; i-- {
+	for i := len(records) - 1; i >= 0; i-- {
 		if crashes := records[i].Crashes[n.cfg.Instance]; crashes > 0 {
 			out = append(out, CrashStat{
 				Fingerprint: records[i].Fingerprint, Crashes: crashes, RemainingSeconds: uint8((records[i].ExpiresAt - now) / time.Second),
@@ -54,6 +54,16 @@
 	return out
 }
 
+// crashPages returns the number of heartbeats that n crash records take.
+func crashPages(n int) int { return max((n+maxHeartbeatCrashes-1)/maxHeartbeatCrashes, 1) }
+
+// crashPage returns one page of the crash records. Successive heartbeats to an instance
+// carry successive pages, so that it gets all records, again and again.
+func crashPage(all []CrashStat, page int) []CrashStat {
+	start := page % crashPages(len(all)) * maxHeartbeatCrashes
+	return all[start:min(start+maxHeartbeatCrashes, len(all))]
+}
+
 // crashesUpstreams reports whether a request has crashed upstreams so often that it
 // must not run again.
 func (n *Node) crashesUpstreams(now time.Duration, fingerprint uint64) bool {
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -133,7 +133,8 @@
 	n.recordCrashes(now, instance, h.Crashes)
 }
 
-// Heartbeat returns the full heartbeat of this node.
+// Heartbeat returns the full heartbeat of this node, with all its crash records. It is
+// sent as returned by Heartbeat.For.
 func (n *Node) Heartbeat(now time.Duration) Heartbeat {
 	window := n.budget.bounds.Window
 	h := Heartbeat{
@@ -160,21 +161,24 @@
 	Interval time.Duration
 	// Partial is set if the heartbeat omits slowly changing statistics.
 	Partial bool
+	// CrashPage is the page of the crash records that the heartbeat carries.
+	CrashPage int
 }
 
-// partial returns h without the statistics that a partial heartbeat omits.
-func (h Heartbeat) partial() Heartbeat {
+// WithoutStatistics returns h as a partial heartbeat.
+func (h Heartbeat) WithoutStatistics() Heartbeat {
 	h.Partial, h.Routes, h.Roots, h.Demand = true, nil, nil, nil
 	return h
 }
 
-// For returns h as it is sent for due: with its interval, and without slowly changing
-// statistics if it is partial.
+// For returns h as it is sent for due: with its interval, one page of its crash records,
+// and without slowly changing statistics if it is partial.
 func (h Heartbeat) For(due DueHeartbeat) Heartbeat {
 	if due.Partial {
-		h = h.partial()
+		h = h.WithoutStatistics()
 	}
 	h.Interval = due.Interval
+	h.Crashes = crashPage(h.Crashes, due.CrashPage)
 	return h
 }
 
@@ -184,6 +188,7 @@
 func (n *Node) DueHeartbeats(now time.Duration, each func(DueHeartbeat)) {
 	localInterval := max(HeartbeatInterval, time.Duration(len(n.instances))*time.Second/maxHeartbeatRate)
 	urgent := n.leaving || float64(n.limiter.Queued()) > urgentQueueShare*float64(n.limiter.Limit())
+	pages := crashPages(len(n.crashStats(now)))
 	for _, instance := range n.fleet(now) {
 		if instance == n.cfg.Instance {
 			continue
@@ -203,7 +208,8 @@
 		if full {
 			p.fullSentAt = now
 		}
-		each(DueHeartbeat{Instance: instance, Interval: interval, Partial: !full})
+		p.crashPage = (p.crashPage + 1) % pages
+		each(DueHeartbeat{Instance: instance, Interval: interval, Partial: !full, CrashPage: p.crashPage})
 	}
 }
 
--- a/core/mesh/peer.go
+++ b/core/mesh/peer.go
@@ -32,6 +32,8 @@
 	// heartbeatSentAt is the time of the last heartbeat to the instance, fullSentAt
 	// that of the last full one.
 	heartbeatSentAt, fullSentAt time.Duration
+	// crashPage is the page of crash records in the last heartbeat to the instance.
+	crashPage int
 	// heartbeatAt is the time of the last heartbeat from the instance, 0 if there was
 	// none.
 	heartbeatAt  time.Duration
--- a/node/sidecar/heartbeat.go
+++ b/node/sidecar/heartbeat.go
@@ -43,8 +43,9 @@
 	// without its Instance, so that each kind is encoded once.
 	recipients := map[mesh.DueHeartbeat][]string{}
 	s.node.DueHeartbeats(now, func(due mesh.DueHeartbeat) {
-		kind := mesh.DueHeartbeat{Interval: due.Interval, Partial: due.Partial}
-		recipients[kind] = append(recipients[kind], due.Instance)
+		instance := due.Instance
+		due.Instance = ""
+		recipients[due] = append(recipients[due], instance)
 	})
 	events := s.node.TakeEvents()
 	s.mu.Unlock()
@@ -54,8 +55,16 @@
 	}
 }
 
+// sendHeartbeat sends a heartbeat. If it is too large for one datagram, its crash records
+// go into a partial one of their own.
 func (s *Sidecar) sendHeartbeat(heartbeat mesh.Heartbeat, instances []string) {
 	encoded, err := cbor.Marshal(heartbeat)
+	if err == nil && len(encoded) > maxHeartbeatBytes && len(heartbeat.Crashes) > 0 {
+		rest := heartbeat
+		rest.Crashes = nil
+		s.sendHeartbeat(rest, instances)
+		encoded, err = cbor.Marshal(heartbeat.WithoutStatistics())
+	}
 	if err != nil || len(encoded) > maxHeartbeatBytes {
 		s.log.Warn("heartbeat not encoded or too large", field("bytes", len(encoded)), field("error", err))
 		return
