Let every node report the requests that it fails for crashes

Cause: a node reports the crashes of its own upstream only. If it restarts, nodes that start later do not hear of them, and a request that was blocked everywhere runs again. Change: blocked requests are reported by every node that holds them, first of all records. The remaining time, rounded down, keeps them from living on by being passed on.

--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/poison"
@@ -17,7 +18,8 @@
 	maxHeartbeatCrashes = 40
 )
 
-// CrashStat reports a request that was running when the node's local upstream crashed.
+// CrashStat reports a request that was running when the node's local upstream crashed, or
+// that the node fails because of crashes anywhere. Crashes is then poison.MaxCrashes.
 type CrashStat struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
@@ -39,19 +41,23 @@
 	}
 }
 
-// crashStats returns all requests that ran during a crash of the local upstream, the most
-// recent first.
-func (n *Node) crashStats(now time.Duration) (out []CrashStat) {
+// crashStats returns all blocked requests, and then those that ran during one crash of
+// the local upstream, each the most recent first. Every node reports the blocked ones, so
+// that they stay known when the nodes beside the crashed upstreams restart.
+func (n *Node) crashStats(now time.Duration) []CrashStat {
 	n.crashRecords.Tick(now)
-	records := n.crashRecords.Records()
-	for i := len(records) - 1; i >= 0; i-- {
-		if crashes := records[i].Crashes[n.cfg.Instance]; crashes > 0 {
-			out = append(out, CrashStat{
-				Fingerprint: records[i].Fingerprint, Crashes: crashes, RemainingSeconds: uint8((records[i].ExpiresAt - now) / time.Second),
-			})
+	var blocked, suspects []CrashStat
+	for _, r := range slices.Backward(n.crashRecords.Records()) {
+		stat := CrashStat{Fingerprint: r.Fingerprint, Crashes: r.Crashes[n.cfg.Instance], RemainingSeconds: uint8((r.ExpiresAt - now) / time.Second)}
+		switch {
+		case n.crashesUpstreams(now, r.Fingerprint):
+			stat.Crashes = poison.MaxCrashes
+			blocked = append(blocked, stat)
+		case stat.Crashes > 0:
+			suspects = append(suspects, stat)
 		}
 	}
-	return out
+	return append(blocked, suspects...)
 }
 
 // crashPages returns the number of heartbeats that n crash records take.
