Take only a new connection as proof that the upstream lives

Cause: after a lost response a node asks whether the upstream still accepts connections, and took an idle connection that was open for an answer. When a process ends, its connections are reset one after the other, so a crash passed for a lost response and its requests got no record. Class: old evidence taken for new. Change: the check opens a connection and keeps it in the pool, in the place of the lost one.

--- a/node/internal/pool/pool.go
+++ b/node/internal/pool/pool.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// Dial opens a new connection even if there are idle ones. Its errors are those of Get.
+func (p *Pool) Dial(timeout time.Duration) (*Conn, error) {
+	if !p.reserve() {
+		return nil, ErrFull
+	}
+	return p.dial(timeout)
+}
+
 func (p *Pool) idleTime() time.Duration {
 	if p.cfg.MaxIdleTime > 0 {
 		return p.cfg.MaxIdleTime
@@ -122,14 +130,26 @@
 		p.idle = p.idle[:last]
 		return c, false
 	}
+	return nil, p.reserveLocked()
+}
+
+// reserve reserves the right to open a new connection, unless the pool is full or closed.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.closed && p.reserveLocked()
+}
+
+// reserveLocked is reserve for a pool that is not closed. The caller holds p.mu.
+func (p *Pool) reserveLocked() bool {
 	if p.open >= p.cfg.MaxConnections {
-		return nil, false
+		return false
 	}
 	p.open++
-	return nil, true
+	return true
 }
 
-// dial opens the connection that takeOrReserve reserved.
+// dial opens a connection that was reserved.
 func (p *Pool) dial(timeout time.Duration) (*Conn, error) {
 	started := time.Now()
 	raw, err := p.dialer(timeout).Dial("tcp", p.cfg.Address)
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -140,10 +140,10 @@
 }
 
 // upstreamRefusesConnections reports whether the local upstream refuses new
-// connections, as it does once its process has ended. A recently used connection that is
-// still open counts as proof that it does not.
+// connections, as it does once its process has ended. An open connection proves nothing,
+// because its reset may be under way.
 func (s *Sidecar) upstreamRefusesConnections() bool {
-	conn, err := s.upstreamPool.GetWithMaxIdleTime(dialTimeout, maxNonIdempotentIdle)
+	conn, err := s.upstreamPool.Dial(dialTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
