Stop a request that crashes upstreams also beside the upstream

Cause: only the node where a request entered looked at its crashes. One that had started just before, or that was cut off from the reports, sent it on, and the node beside the upstream let it run though it knew. Change: that node refuses it as not run, before and after it waited in the queue; where it entered it fails and is not sent to another upstream, and the refusal says nothing about the node that gave it.

--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -31,7 +31,7 @@
 	switch {
 	case o.Kind == OutcomeAnswered && !n.isServerError(o):
 		return Step{Kind: StepDeliver}
-	case n.crashesUpstreams(now, c.fingerprint):
+	case o.Reason == ReasonCrasher, n.crashesUpstreams(now, c.fingerprint):
 		return Step{Kind: StepFail, Reason: ReasonCrasher}
 	case o.Kind == OutcomeNotRun:
 		return n.afterNotRun(now, c, o)
@@ -72,7 +72,8 @@
 		a.peer.outlier.RecordSuccess(now, g)
 	// These outcomes say nothing about the node. Failures of its upstream count in the
 	// fault share instead.
-	case o.Reason == ReasonDeadline && !o.NodeSilent || o.Reason == ReasonMoved || o.Reason == ReasonShed || o.Kind == OutcomeAnswered:
+	case o.Reason == ReasonDeadline && !o.NodeSilent || o.Reason == ReasonMoved || o.Reason == ReasonShed ||
+		o.Reason == ReasonCrasher || o.Kind == OutcomeAnswered:
 		a.peer.outlier.RecordInconclusive()
 	default:
 		a.peer.outlier.RecordFailure(now, g)
--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -70,6 +70,12 @@
 	return all[start:min(start+maxHeartbeatCrashes, len(all))]
 }
 
+// BlocksWork reports whether w has crashed upstreams so often that it must not run at the
+// local one, though the node where it entered let it pass.
+func (n *Node) BlocksWork(now time.Duration, w Work) bool {
+	return n.crashesUpstreams(now, w.Fingerprint)
+}
+
 // crashesUpstreams reports whether a request has crashed upstreams so often that it
 // must not run again.
 func (n *Node) crashesUpstreams(now time.Duration, fingerprint uint64) bool {
--- a/core/mesh/crash_spread_test.go
+++ b/core/mesh/crash_spread_test.go
@@ -162,3 +162,24 @@
 		t.Errorf("the crashing request is blocked at %v, want at all nodes", got)
 	}
 }
+
+// TestNodeBesideUpstreamStopsCrasher guards against a request that crashes an upstream
+// because the node where it entered has not heard of its crashes.
+func TestNodeBesideUpstreamStopsCrasher(t *testing.T) {
+	f := newCrashFleet(t)
+	for _, n := range f.nodes[:2] {
+		f.crash(n, crasherFingerprint)
+		f.advance(spreadTime)
+	}
+	if !f.nodes[2].BlocksWork(f.now, Work{Fingerprint: crasherFingerprint}) {
+		t.Error("the node beside the upstream lets the request run, want it stopped")
+	}
+	if f.nodes[2].BlocksWork(f.now, Work{Fingerprint: crasherFingerprint + 1}) {
+		t.Error("the node beside the upstream stops another request")
+	}
+	f.restart(3)
+	c, _ := f.nodes[3].StartCall(f.now, IncomingRequest{ID: "r", Host: "h", Path: "/b/1", Fingerprint: crasherFingerprint})
+	if step := f.nodes[3].EndAttempt(f.now, c, Outcome{Kind: OutcomeNotRun, Reason: ReasonCrasher}); step.Kind != StepFail || step.Reason != ReasonCrasher {
+		t.Errorf("step %+v where the request entered, want StepFail with ReasonCrasher and no further attempt", step)
+	}
+}
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -63,13 +63,8 @@
 		s.logRefusal(req, mesh.ReasonUnreachable)
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonUnreachable}
 	}
-	work, decision := s.acquireSlot(ctx, req)
-	if decision != concurrency.Admit {
-		reason := mesh.ReasonBusy
-		if ctx.Err() != nil {
-			// The caller has disconnected; the outcome is only logged.
-			reason = mesh.ReasonDeadline
-		}
+	work, reason := s.acquireSlot(ctx, req)
+	if reason != mesh.ReasonNone {
 		s.logRefusal(req, reason)
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: reason}
 	}
@@ -190,13 +185,16 @@
 	return o
 }
 
-// acquireSlot waits until the local upstream has a free slot for req, or until req is
-// refused. If it returns concurrency.Admit, the caller must release the slot with
-// WorkDone.
-func (s *Sidecar) acquireSlot(ctx context.Context, req *upstreamRequest) (mesh.Work, concurrency.Decision) {
+// acquireSlot waits until the local upstream has a free slot for req. It returns the reason
+// if req is refused. Otherwise the caller must release the slot with WorkDone.
+func (s *Sidecar) acquireSlot(ctx context.Context, req *upstreamRequest) (mesh.Work, mesh.Reason) {
 	s.mu.Lock()
 	s.lastWorkID++
 	work := mesh.Work{ID: s.lastWorkID, RequestID: req.id, Fingerprint: fingerprint(req.request), Route: req.routeID, Rank: req.rank, Deadline: req.deadline}
+	if s.node.BlocksWork(s.now(), work) {
+		s.mu.Unlock()
+		return work, mesh.ReasonCrasher
+	}
 	decision := s.node.OfferWork(s.now(), work)
 	if decision == concurrency.Refuse {
 		s.node.WorkRefused(work)
@@ -207,26 +205,35 @@
 		s.waiters[work.ID] = decided
 	}
 	s.mu.Unlock()
-	if decided == nil {
-		return work, decision
+	switch {
+	case decision == concurrency.Admit:
+		return work, mesh.ReasonNone
+	case decision == concurrency.Refuse:
+		return work, mesh.ReasonBusy
 	}
 	select {
 	case decision = <-decided:
-		if decision == concurrency.Admit {
-			s.mu.Lock()
-			s.node.WorkStarted(s.now(), work)
-			s.mu.Unlock()
-			return work, decision
-		}
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	blocked := s.node.BlocksWork(s.now(), work)
+	if decision == concurrency.Admit && !blocked {
+		s.node.WorkStarted(s.now(), work)
+		return work, mesh.ReasonNone
+	}
 	// The slot may have been granted just now; WorkRefused returns it.
 	delete(s.waiters, work.ID)
 	s.node.WorkRefused(work)
 	s.dispatchQueuedWork(s.now())
-	return work, concurrency.Refuse
+	switch {
+	case blocked:
+		return work, mesh.ReasonCrasher
+	case ctx.Err() != nil:
+		// The caller has disconnected; the outcome is only logged.
+		return work, mesh.ReasonDeadline
+	}
+	return work, mesh.ReasonBusy
 }
 
 // dispatchQueuedWork passes on all decisions about queued requests that can be made
