Clear a suspect that completes, at all nodes

What callers saw: nothing reported; with all suspects reported, a harmless request that is sent often would have been failed everywhere for a minute after two crashes of upstreams that happened to run it. Cause: a record of one crash was never taken back in the sidecar, and its reporter repeated it for a minute whatever happened since. Change: a request that completes at an upstream clears its record there, and the node tells the others; crashes before the last success no longer count, those after it do. The time in a report is in milliseconds, so that the two can be ordered; only what every node passes on is rounded down to seconds. Not covered: two upstreams that crash at the same moment while both run it; see the postmortem.

--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -19,14 +19,16 @@
 )
 
 // CrashStat reports a request that was running when the node's local upstream crashed, or
-// that the node fails because of crashes anywhere. Crashes is then poison.MaxCrashes.
+// that the node fails because of crashes anywhere. Crashes is then poison.MaxCrashes. It
+// is 0 for a former suspect that has completed at the local upstream.
 type CrashStat struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
 	Crashes     uint8
-	// RemainingSeconds is how long the crashes still count, rounded down, so that a report
-	// that comes back to its sender cannot lengthen a record.
-	RemainingSeconds uint8
+	// RemainingMS is how long the report still counts, in milliseconds. For requests that
+	// the node fails it is rounded down to seconds, so that a report that comes back to its
+	// sender cannot lengthen a record.
+	RemainingMS uint32
 }
 
 // RecordCrash records that the local upstream crashed while it ran w.
@@ -37,27 +39,41 @@
 // recordCrashes records the crashes that another node reports.
 func (n *Node) recordCrashes(now time.Duration, instance string, list []CrashStat) {
 	for _, crash := range list {
-		n.crashRecords.MergeReport(now, instance, crash.Fingerprint, crash.Crashes, time.Duration(crash.RemainingSeconds)*time.Second)
+		remaining := min(time.Duration(crash.RemainingMS)*time.Millisecond, crashMemory)
+		if crash.Crashes == 0 {
+			n.crashRecords.MergeSuccess(now, crash.Fingerprint, remaining)
+			continue
+		}
+		n.crashRecords.MergeReport(now, instance, crash.Fingerprint, crash.Crashes, remaining)
 	}
 }
 
-// crashStats returns all blocked requests, and then those that ran during one crash of
-// the local upstream, each the most recent first. Every node reports the blocked ones, so
-// that they stay known when the nodes beside the crashed upstreams restart.
+// crashStats returns all blocked requests, then the suspects that ran during one crash of
+// the local upstream, the most recent first, then the former suspects that completed there.
+// Every node reports the blocked ones, so that they stay known when the nodes beside the
+// crashed upstreams restart.
 func (n *Node) crashStats(now time.Duration) []CrashStat {
 	n.crashRecords.Tick(now)
 	var blocked, suspects []CrashStat
 	for _, r := range slices.Backward(n.crashRecords.Records()) {
-		stat := CrashStat{Fingerprint: r.Fingerprint, Crashes: r.Crashes[n.cfg.Instance], RemainingSeconds: uint8((r.ExpiresAt - now) / time.Second)}
+		remaining := r.ExpiresAt - now
+		crashes := r.Crashes[n.cfg.Instance]
 		switch {
 		case n.crashesUpstreams(now, r.Fingerprint):
-			stat.Crashes = poison.MaxCrashes
-			blocked = append(blocked, stat)
-		case stat.Crashes > 0:
-			suspects = append(suspects, stat)
+			blocked = append(blocked, newCrashStat(r.Fingerprint, poison.MaxCrashes, remaining.Truncate(time.Second)))
+		case crashes > 0:
+			suspects = append(suspects, newCrashStat(r.Fingerprint, crashes, remaining))
 		}
 	}
-	return append(blocked, suspects...)
+	stats := append(blocked, suspects...)
+	n.crashRecords.ForEachOwnSuccess(now, func(fingerprint uint64, remaining time.Duration) {
+		stats = append(stats, newCrashStat(fingerprint, 0, remaining))
+	})
+	return stats
+}
+
+func newCrashStat(fingerprint uint64, crashes uint8, remaining time.Duration) CrashStat {
+	return CrashStat{Fingerprint: fingerprint, Crashes: crashes, RemainingMS: uint32(remaining.Milliseconds())}
 }
 
 // crashPages returns the number of heartbeats that n crash records take.
--- a/core/mesh/work.go
+++ b/core/mesh/work.go
@@ -71,6 +71,9 @@
 // WorkDone records the end of a run at the local upstream. took is its run time.
 func (n *Node) WorkDone(now time.Duration, w Work, took time.Duration, result RunResult) {
 	n.limiter.Done(w.ID)
+	if result == RunSucceeded {
+		n.crashRecords.ClearSuspect(now, w.Fingerprint)
+	}
 	n.recordRun(w, took, result)
 	delete(n.openWork, w.RequestID)
 	n.usage.end(now, w.Rank.Root)
