Restore the store from an older copy in the fault soak

Change: a fault takes the store away, takes up to six changes back and has the operator and the upstreams write them again before the nodes can read; entries carry a sequence.

--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -32,6 +32,7 @@
 	// started.
 	restartMutex sync.Mutex
 	draining     bool  // as published in the upstream's registry entry
+	entryWrites  int64 // counts the writes of the registry entry
 	born         int64 // Unix time in milliseconds; see registry.Upstream
 
 	mu      sync.Mutex
@@ -114,11 +115,12 @@
 // address returns the address of a port on the first IP of the instance.
 func (n *instance) address(port int) string { return net.JoinHostPort(n.ip, fmt.Sprint(port)) }
 
-// registryEntry returns the entry that announces the upstream in the store.
+// registryEntry returns the next entry that announces the upstream in the store.
 func (n *instance) registryEntry() *registry.Upstream {
+	n.entryWrites++
 	return &registry.Upstream{
 		ID: n.upstream.id, Service: n.service, Address: n.upstream.address, DataCentre: n.dataCentre(), Slots: upstreamSlots,
-		Draining: n.draining, Born: n.born,
+		Draining: n.draining, Born: n.born, Sequence: n.entryWrites,
 	}
 }
 
--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -64,6 +65,8 @@
 	latestVersion atomic.Int64  // of the routing table
 	ready         []atomic.Bool // by instance: whether its node accepts callers
 
+	registryMu sync.Mutex // serialises the writes of registry entries
+
 	mu         sync.Mutex
 	violations []string
 }
@@ -235,19 +238,42 @@
 
 // registerUpstream writes the registry entry of an upstream to the store.
 func (r *runner) registerUpstream(n *instance) {
+	r.registryMu.Lock()
+	defer r.registryMu.Unlock()
 	key, value, err := platform.EncodeRegistration(n.registryEntry())
 	r.recordError(err)
 	r.store.Put(key, value)
 }
 
+// maxLostRevisions bounds the changes that a restore of the store takes back.
+const maxLostRevisions = 6
+
+// restoreStore takes the store away and restores it from an older copy. The operator and
+// the upstreams write again what it lost before the nodes can read it.
+func (r *runner) restoreStore() {
+	r.store.FailWithStatus(http.StatusServiceUnavailable)
+	revision := r.store.Revision()
+	r.store.Restore(revision - min(revision/2, maxLostRevisions))
+	if version := r.currentVersion(); r.options.Defect != unpublishedTables {
+		key, value, err := platform.EncodeConfig(routingTable(version, r.options.Defect))
+		r.recordError(err)
+		r.store.Put(key, value)
+	}
+	for _, n := range r.instances {
+		r.registerUpstream(n)
+	}
+}
+
 // currentVersion returns the version of the routing table that was published last.
 func (r *runner) currentVersion() int { return int(r.latestVersion.Load()) }
 
 // setDraining publishes that an upstream starts or stops draining and records the drain
 // in the history.
 func (r *runner) setDraining(n *instance, draining bool) {
-	n.draining = draining
 	if r.options.Defect != unpublishedDrain {
+		r.registryMu.Lock()
+		n.draining = draining
+		r.registryMu.Unlock()
 		r.registerUpstream(n)
 	}
 	r.history.update(func() {
--- a/harness/faults/schedule.go
+++ b/harness/faults/schedule.go
@@ -105,6 +105,10 @@
 		r.store.DropHistory()
 		return func() {}
 	}},
+	{name: "store_restored", global: true, inject: func(r *runner, _ *instance) func() {
+		r.restoreStore()
+		return r.store.ClearFaults
+	}},
 	{name: "table", global: true, planned: true, inject: func(r *runner, _ *instance) func() {
 		r.publishTable()
 		return func() {}
