Log and show what upstreams say of themselves in their answers

Change: the two headers are read at the node beside the upstream, from answers that are its own; a line when a limit begins or ends or the upstream leaves, and a gauge while there is a limit. No decision uses them.

--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -39,6 +39,11 @@
 	NotExecuted string
 	// RetryAfter holds the time to wait before the next attempt, in seconds.
 	RetryAfter string
+	// RateLimit holds the requests per second that an upstream in need accepts from all
+	// instances together.
+	RateLimit string
+	// UpstreamLeaving is set in the responses of an upstream that is about to leave.
+	UpstreamLeaving string
 	// CallerService holds the name of the service of the node that received the
 	// request from its caller.
 	CallerService string
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -182,6 +182,8 @@
 	ReachedUpstream bool
 	// NodeSilent is set if the node gave no answer of any kind by the deadline.
 	NodeSilent bool
+	// Notice is what the upstream said of itself in its answer.
+	Notice Notice
 	// Load is the load of the upstream as reported by the answering node.
 	Load Load
 	// LoadKnown is set if the answering node reported a load.
--- a/core/mesh/events.go
+++ b/core/mesh/events.go
@@ -24,12 +24,19 @@
 	// EventUpstreamHealthy means that the fault share of a faulty upstream has fallen
 	// below faultyThreshold.
 	EventUpstreamHealthy
+	// EventLimitNamed means that the local upstream began to name a rate limit.
+	EventLimitNamed
+	// EventLimitLifted means that the local upstream no longer names a rate limit.
+	EventLimitLifted
+	// EventUpstreamLeaving means that the local upstream says that it is about to leave.
+	EventUpstreamLeaving
 )
 
 // String returns the log message of the event.
 func (k EventKind) String() string {
 	return [...]string{
 		"none", "upstream ejected", "upstream readmitted", "node silent", "node heard", "upstream faulty", "upstream sound",
+		"upstream named limit", "upstream lifted limit", "upstream leaving",
 	}[k]
 }
 
@@ -42,6 +49,8 @@
 	Reason Reason
 	// FaultShare is the reported fault share of the upstream.
 	FaultShare float64
+	// RateLimit is the limit that the local upstream named, in requests per second.
+	RateLimit float64
 	// HeartbeatAge is the time since the last heartbeat of the instance.
 	HeartbeatAge time.Duration
 }
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -69,6 +69,8 @@
 	nearCapacity bool
 	leaving      bool
 	events       []Event
+	// notice is what the local upstream said in its last answer.
+	notice Notice
 }
 
 // New returns a node without a routing table and without known upstreams.
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -28,6 +28,7 @@
 		Headers: dialect.Headers{
 			RequestID: "X-Id", Deadline: "X-Left", ResponseStamp: "X-Stamp", ExpectInstance: "X-Expect", NotExecuted: "X-Not-Run",
 			RetryAfter: "Retry-After", CallerService: "X-Caller",
+			RateLimit: "X-Limit", UpstreamLeaving: "X-Leaving",
 		},
 		ParentID:       func(id string) string { parent, _, _ := strings.Cut(id, "/"); return parent },
 		ReadyPath:      "/ready",
--- a/node/sidecar/gauges.go
+++ b/node/sidecar/gauges.go
@@ -31,6 +31,9 @@
 	add("shallot_own_running", "", "", float64(load.Running))
 	add("shallot_own_queued", "", "", float64(load.Queued))
 	add("shallot_own_limit", "", "", float64(load.Limit))
+	if notice := s.node.Notice(); notice.Limited {
+		add("shallot_own_rate_limit", "", "", notice.RateLimit)
+	}
 	services, shares := s.node.PlanReport()
 	for _, service := range services {
 		add("shallot_service_slots", "service", service.Service, service.Slots)
--- a/node/sidecar/logs.go
+++ b/node/sidecar/logs.go
@@ -74,6 +74,10 @@
 // logPeerEvents logs changes in the states that the node assigns to other instances.
 func (s *Sidecar) logPeerEvents(events []mesh.Event) {
 	for _, e := range events {
+		if e.Kind >= mesh.EventLimitNamed {
+			s.log.Info(e.Kind.String(), field("instance", e.Instance), field("limit_per_second", e.RateLimit))
+			continue
+		}
 		fields := []logging.Field{field("instance", e.Instance), field("faults", fmt.Sprintf("%.2f", e.FaultShare)), field("beat_age_ms", formatMilliseconds(e.HeartbeatAge))}
 		if e.Reason != mesh.ReasonNone {
 			fields = append(fields, field("reason", e.Reason))
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"math"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -71,7 +73,14 @@
 	started := s.now()
 	o := s.exchange(ctx, s.upstreamPool, req, s.maxIdleFor(req), s.responseMatcher(req))
 	if o.Kind == mesh.OutcomeAnswered {
+		notice := s.readNotice(&req.response.Header)
 		o = s.classifyResponse(req, o)
+		if o.Reason != mesh.ReasonMoved && o.Reason != mesh.ReasonLost {
+			o.Notice = notice
+			s.mu.Lock()
+			s.node.RecordNotice(notice)
+			s.mu.Unlock()
+		}
 	}
 	crashed := o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonLost && ctx.Err() == nil && s.upstreamRefusesConnections()
 	s.mu.Lock()
@@ -185,6 +194,22 @@
 	return o
 }
 
+// readNotice returns what an upstream says of itself in a response.
+func (s *Sidecar) readNotice(h *fasthttp.ResponseHeader) mesh.Notice {
+	notice := mesh.Notice{Leaving: len(h.Peek(s.dialect.Headers.UpstreamLeaving)) > 0}
+	text := h.Peek(s.dialect.Headers.RateLimit)
+	if len(text) == 0 {
+		return notice
+	}
+	limit, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || math.IsNaN(limit) || limit < 0 {
+		s.log.Warn("invalid rate limit of upstream", field("limit", string(text)))
+		return notice
+	}
+	notice.RateLimit, notice.Limited = limit, true
+	return notice
+}
+
 // acquireSlot waits until the local upstream has a free slot for req. It returns the reason
 // if req is refused. Otherwise the caller must release the slot with WorkDone.
 func (s *Sidecar) acquireSlot(ctx context.Context, req *upstreamRequest) (mesh.Work, mesh.Reason) {
