Hold the requests of all nodes to the limit that an upstream names

Cause: the header was not read by any decision. Class: a signal of the platform that passes through the node unused. Change: the node beside the upstream, which all its requests pass, starts them from a token bucket at that rate until an answer no longer names it. What would wait long is refused as not run at once and sent elsewhere; the reported concurrency is what the rate keeps busy, so that others choose other upstreams and admission counts the smaller capacity. A request carries the limit that its sender heard, for a node that has just restarted.

--- a/core/concurrency/limiter.go
+++ b/core/concurrency/limiter.go
@@ -40,13 +40,14 @@
 // a full queue fits into the 284 MB of memory of an instance.
 const maxQueue = 4096
 
-// Limiter limits the number of requests that run at once on one upstream. It is not
-// safe for concurrent use.
+// Limiter limits the number of requests that run at once on one upstream and, while there
+// is a rate limit, of those that start per second. It is not safe for concurrent use.
 type Limiter struct {
 	limit   int
 	running map[uint64]struct{}
 	queue   queue
 	waiting map[uint64]*Request
+	rate    rateLimit
 }
 
 // New returns a limiter with a limit of 0.
@@ -70,11 +71,11 @@
 	if req.Deadline-now < req.ExpectedRunTime {
 		return Refuse
 	}
-	if len(l.running) < l.limit && l.queue.Len() == 0 {
-		l.running[req.ID] = struct{}{}
+	if len(l.running) < l.limit && l.queue.Len() == 0 && l.rate.allows(now) {
+		l.start(req.ID)
 		return Admit
 	}
-	if l.queue.Len() >= maxQueue {
+	if l.queue.Len() >= maxQueue || l.waitsTooLong(now, &req) {
 		return Refuse
 	}
 	l.waiting[req.ID] = &req
@@ -91,7 +92,7 @@
 	}
 	first := l.queue[0]
 	late := first.missesDeadline(now)
-	if !late && len(l.running) >= l.limit {
+	if !late && (len(l.running) >= l.limit || !l.rate.allows(now)) {
 		return 0, 0, false
 	}
 	heap.Pop(&l.queue)
@@ -99,10 +100,15 @@
 	if late {
 		return first.ID, Refuse, true
 	}
-	l.running[first.ID] = struct{}{}
+	l.start(first.ID)
 	return first.ID, Admit, true
 }
 
+func (l *Limiter) start(id uint64) {
+	l.running[id] = struct{}{}
+	l.rate.take()
+}
+
 // RemoveExpired removes and returns the waiting requests that cannot meet their
 // deadline any more, in the order of their identifiers.
 func (l *Limiter) RemoveExpired(now time.Duration) []uint64 {
--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -54,6 +54,7 @@
 		return
 	}
 	a.peer.inFlight--
+	a.peer.recordNotice(now, a.upstream.ID, o)
 	if o.LoadKnown {
 		a.peer.recordLoad(now, o.Load)
 	}
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -104,6 +104,10 @@
 	// LoadAge is the time since the load of the instance was last reported.
 	Utilisation float64
 	LoadAge     time.Duration
+	// RateLimit is the limit that the upstream named in its last answer to this node's
+	// requests, in requests per second; Limited is set if it named one.
+	RateLimit float64
+	Limited   bool
 }
 
 // Reason states why a request was not served or an attempt did not succeed.
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -43,9 +43,10 @@
 	usage         usage
 	arrivals      arrivals
 	faults        faultTracker
-	// ownRegistrationID is the ID of the registration of the local upstream for which
-	// faults are counted.
-	ownRegistrationID string
+	// ownRegistrationID and ownRegistrationBorn identify the run of the local upstream for
+	// which faults are counted.
+	ownRegistrationID   string
+	ownRegistrationBorn int64
 	// openWork holds, by request ID, the requests that are running at the local upstream
 	// or queued for it.
 	openWork map[string]*parentRequest
@@ -69,8 +70,10 @@
 	nearCapacity bool
 	leaving      bool
 	events       []Event
-	// notice is what the local upstream said in its last answer.
-	notice Notice
+	// notice is what the local upstream said in its last answer. noticeKnown is set once it
+	// has answered.
+	notice      Notice
+	noticeKnown bool
 }
 
 // New returns a node without a routing table and without known upstreams.
@@ -118,9 +121,10 @@
 		}
 	})
 	if ownRegistration := n.ownRegistration(); ownRegistration != nil {
-		if ownRegistration.ID != n.ownRegistrationID {
-			n.ownRegistrationID = ownRegistration.ID
+		if ownRegistration.ID != n.ownRegistrationID || ownRegistration.Born != n.ownRegistrationBorn {
+			n.ownRegistrationID, n.ownRegistrationBorn = ownRegistration.ID, ownRegistration.Born
 			n.UpstreamRecovered()
+			n.forgetNotice()
 		}
 		n.limiter.SetLimit(concurrencyLimit(ownRegistration.Slots))
 	}
@@ -146,5 +150,5 @@
 
 // Load returns the load of the local upstream.
 func (n *Node) Load() Load {
-	return Load{Running: n.limiter.Running(), Queued: n.limiter.Queued(), Limit: n.limiter.Limit()}
+	return Load{Running: n.limiter.Running(), Queued: n.limiter.Queued(), Limit: n.concurrency()}
 }
--- a/core/mesh/peer.go
+++ b/core/mesh/peer.go
@@ -40,6 +40,7 @@
 	heartbeat    Heartbeat
 	leavingUntil time.Duration
 	outlier      outlier.Target
+	notice       upstreamNotice
 	// reported is the state given in the last events on the instance.
 	reported struct{ silent, faulty bool }
 }
--- a/core/mesh/start.go
+++ b/core/mesh/start.go
@@ -62,6 +62,7 @@
 	p.inFlight++
 	p.outlier.RecordStart(now)
 	t := Target{Upstream: u.ID, Instance: u.Instance, Utilisation: utilisation, LoadAge: loadAge}
+	t.RateLimit, t.Limited = p.knownLimit(now, u.ID)
 	if u.Instance == n.cfg.Instance {
 		t.Instance = ""
 	}
--- a/core/mesh/usage.go
+++ b/core/mesh/usage.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// meanRunTime returns the mean run time of all requests, or defaultRunTime if there were
+// hardly any.
+func (u *usage) meanRunTime() time.Duration {
+	running, rate := 0.0, 0.0
+	for _, r := range u.roots {
+		running += r.meanRunning
+		rate += r.runRate
+	}
+	if rate < minTrackedRate {
+		return defaultRunTime
+	}
+	return time.Duration(running / rate * float64(time.Second))
+}
+
 // stats returns the usage for the heartbeat, sorted by falling number of slots in use.
 func (u *usage) stats() []RootStat {
 	out := make([]RootStat, 0, len(u.roots))
--- a/node/sidecar/caller.go
+++ b/node/sidecar/caller.go
@@ -89,7 +89,7 @@
 	x.Response.Reset()
 	req := &upstreamRequest{
 		request: &x.Request, response: &x.Response, id: c.ID, rank: c.Rank, routeID: c.RouteID,
-		deadline: c.Deadline, nonIdempotent: !c.Route.Idempotent,
+		deadline: c.Deadline, nonIdempotent: !c.Route.Idempotent, rateLimit: t.RateLimit, limited: t.Limited,
 	}
 	req.rank.Age += s.now() - c.Arrived
 	x.Request.Header.Set(s.dialect.Headers.ExpectInstance, t.Upstream)
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -79,6 +79,9 @@
 	if !parseResult(string(h.Peek(resultHeader)), &o) {
 		return mesh.Outcome{Kind: mesh.OutcomeUnknown, Reason: mesh.ReasonLost, ReachedUpstream: true}
 	}
+	if o.Kind == mesh.OutcomeAnswered {
+		o.Notice = s.readNotice(h)
+	}
 	o.Load, o.LoadKnown = parseLoad(string(h.Peek(loadHeader)))
 	o.Status = req.response.StatusCode()
 	return o
--- a/node/sidecar/node_headers.go
+++ b/node/sidecar/node_headers.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -29,8 +30,15 @@
 	deadline time.Duration
 	// nonIdempotent means that the request must not run twice.
 	nonIdempotent bool
+	// rateLimit is the limit that the upstream named to the sending node, in requests per
+	// second, if limited is set.
+	rateLimit float64
+	limited   bool
 }
 
+// limitPrefix precedes the limit of the upstream in an encoded rank.
+const limitPrefix = " limit="
+
 // formatRank encodes what the receiving node needs to prioritise and run the request.
 func formatRank(req *upstreamRequest) string {
 	b := make([]byte, 0, 48)
@@ -41,6 +49,10 @@
 	b = strconv.AppendUint(b, uint64(req.rank.Root), 16)
 	b = append(b, ' ')
 	b = strconv.AppendUint(b, uint64(req.routeID), 16)
+	if req.limited {
+		b = append(b, limitPrefix...)
+		b = strconv.AppendFloat(b, req.rateLimit, 'g', -1, 64)
+	}
 	if req.rank.IsRetry {
 		b = append(b, " rerun"...)
 	}
@@ -55,6 +67,14 @@
 func parseRank(text string, req *upstreamRequest) (ok bool) {
 	text, req.nonIdempotent = strings.CutSuffix(text, " once")
 	text, isRetry := strings.CutSuffix(text, " rerun")
+	text, limitText, limited := strings.Cut(text, limitPrefix)
+	if limited {
+		limit, err := strconv.ParseFloat(limitText, 64)
+		if err != nil || math.IsNaN(limit) || limit < 0 {
+			return false
+		}
+		req.rateLimit, req.limited = limit, true
+	}
 	parts := strings.Split(text, " ")
 	if len(parts) != 4 {
 		return false
--- a/node/sidecar/node_headers_test.go
+++ b/node/sidecar/node_headers_test.go
@@ -21,6 +21,9 @@
 			},
 			routeID: rapid.Uint32().Draw(t, "route"), nonIdempotent: rapid.Bool().Draw(t, "once"),
 		}
+		if req.limited = rapid.Bool().Draw(t, "limited"); req.limited {
+			req.rateLimit = rapid.Float64Range(0, 1e6).Draw(t, "limit")
+		}
 		var got upstreamRequest
 		if !parseRank(formatRank(&req), &got) || got != req {
 			t.Fatalf("%+v became %+v", req, got)
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -78,7 +78,7 @@
 		if o.Reason != mesh.ReasonMoved && o.Reason != mesh.ReasonLost {
 			o.Notice = notice
 			s.mu.Lock()
-			s.node.RecordNotice(notice)
+			s.node.RecordNotice(s.now(), notice)
 			s.mu.Unlock()
 		}
 	}
@@ -220,6 +220,9 @@
 		s.mu.Unlock()
 		return work, mesh.ReasonCrasher
 	}
+	if req.limited {
+		s.node.AdoptLimit(s.now(), req.rateLimit)
+	}
 	decision := s.node.OfferWork(s.now(), work)
 	if decision == concurrency.Refuse {
 		s.node.WorkRefused(work)
