Send nothing more to an upstream that says in an answer that it leaves

Requests could be cut off when such an upstream ended. Cause: the header was passed on to the caller and used for nothing, while some upstreams never report in the store that they drain. Change: a node that gets such an answer treats that run of the upstream as draining at once, whatever the store or other nodes say of it; the next run counts anew.

--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -55,6 +55,9 @@
 	}
 	a.peer.inFlight--
 	a.peer.recordNotice(now, a.upstream.ID, o)
+	if o.Notice.Leaving && n.registry.MarkLeaving(a.upstream.ID, a.upstream.Born) {
+		n.recordEvent(Event{Kind: EventUpstreamLeaving, Instance: a.upstream.Instance})
+	}
 	if o.LoadKnown {
 		a.peer.recordLoad(now, o.Load)
 	}
--- a/core/registry/precedence.go
+++ b/core/registry/precedence.go
@@ -57,6 +57,32 @@
 	r.removals[u.ID] = removal{Upstream: u, at: now}
 }
 
+// MarkLeaving records that an upstream said in its run since born that it leaves. It
+// drains from then on, whatever the store says of the same run. MarkLeaving reports whether
+// it did not before.
+func (r *Registry) MarkLeaving(id string, born int64) bool {
+	e := r.entries[id]
+	if e == nil || e.Draining || e.Born != born {
+		return false
+	}
+	if len(r.leaving) >= maxUpstreams {
+		clear(r.leaving)
+	}
+	r.leaving[id] = e.Born
+	e.Draining = true
+	return true
+}
+
+// applyLeaving marks u as draining if it is of a run that said that it leaves.
+func (r *Registry) applyLeaving(u *Upstream) {
+	born, leaving := r.leaving[u.ID]
+	if leaving && born == u.Born {
+		u.Draining = true
+		return
+	}
+	delete(r.leaving, u.ID)
+}
+
 // Removals returns the entries that were removed recently, for other nodes.
 func (r *Registry) Removals() (list []Upstream) {
 	for _, removed := range r.removals {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -83,6 +83,8 @@
 	// byService holds the upstreams by service name; of several entries with the
 	// same address it contains only the newest.
 	byService map[string][]*Upstream
+	// leaving holds the upstreams that said themselves that they leave: Born by ID.
+	leaving map[string]int64
 	// removals holds the entries that were removed, or whose address belongs to another
 	// upstream, by ID.
 	removals map[string]removal
@@ -100,7 +102,7 @@
 // New returns an empty Registry.
 func New() *Registry {
 	return &Registry{
-		entries: map[string]*entry{}, byService: map[string][]*Upstream{}, removals: map[string]removal{},
+		entries: map[string]*entry{}, byService: map[string][]*Upstream{}, leaving: map[string]int64{}, removals: map[string]removal{},
 	}
 }
 
@@ -219,6 +221,7 @@
 	}
 	u := *c.Upstream
 	u.Era, u.Revision = c.Era, max(u.Revision, c.Revision)
+	r.applyLeaving(&u)
 	if r.returnsRemoved(&u) {
 		return
 	}
