Let a sidecar's listener that was closed before it serves return

Cause: Close only knew a listener that Serve had already stored. Change: Close is remembered, and Serve closes the listener it gets.

--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -87,15 +87,21 @@
 	mu    sync.Mutex
 	ln    net.Listener
 	conns map[*conn]struct{}
+	// closed is true once Close has been called, possibly before Serve.
+	closed bool
 }
 
 // New returns a Listener; call Serve to start it.
 func New(cfg Config) *Listener { return &Listener{cfg: cfg, conns: map[*conn]struct{}{}} }
 
-// Serve accepts connections from ln until Close is called.
+// Serve accepts connections from ln until Close is called. It returns at once, and closes
+// ln, if that has happened before.
 func (l *Listener) Serve(ln net.Listener) error {
 	l.mu.Lock()
 	l.ln = ln
+	if l.closed {
+		_ = ln.Close()
+	}
 	l.mu.Unlock()
 	for {
 		raw, err := ln.Accept()
@@ -159,6 +165,7 @@
 func (l *Listener) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.closed = true
 	if l.ln != nil {
 		_ = l.ln.Close()
 	}
--- a/node/internal/listener/listener_test.go
+++ b/node/internal/listener/listener_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/node/internal/listener"
@@ -176,3 +177,20 @@
 	}
 	expectEOF(t, in)
 }
+
+// TestServeAfterCloseReturns guards against a node that waits for ever when it is ended
+// right after its start, before its listener serves.
+func TestServeAfterCloseReturns(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := listener.New(listener.Config{})
+	l.Close()
+	if err := l.Serve(ln); err != nil {
+		t.Errorf("got error %v, want none", err)
+	}
+	if _, err := ln.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("got error %v, want the listener closed", err)
+	}
+}
