Choose the ports of tests outside the ephemeral range

A test chose a port of the range from which the system takes those of outgoing connections, closed it and told it to a node; until the node listened, any connection could take it. Change: one package chooses ports below that range; the fleet of node/sidecar, the test of restores and the fault soak use it. No check changed.

--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -9,7 +9,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,6 +19,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/shallotspool/shallotspool/harness/freeport"
 	"github.com/shallotspool/shallotspool/platform"
 	"github.com/shallotspool/shallotspool/platform/standin"
 )
@@ -159,15 +159,12 @@
 	return fmt.Errorf("seed %d: nodes not ready within %v", r.options.Seed, startTimeout)
 }
 
-// findFreePorts finds TCP ports that are free on all local addresses.
+// findFreePorts finds ports that are free on all local addresses.
 func findFreePorts() (p ports, err error) {
 	for _, port := range []*int{&p.callers, &p.peers, &p.ready, &p.heartbeats, &p.metrics, &p.upstream, &p.store} {
-		ln, err := net.Listen("tcp", "0.0.0.0:0")
-		if err != nil {
+		if *port, err = freeport.Choose(); err != nil {
 			return p, err
 		}
-		defer ln.Close() // not earlier, so that all ports differ
-		*port = ln.Addr().(*net.TCPAddr).Port
 	}
 	return p, nil
 }
--- a/node/cmd/shallotd/store_restore_test.go
+++ b/node/cmd/shallotd/store_restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/core/route"
+	"github.com/shallotspool/shallotspool/harness/freeport"
 	"github.com/shallotspool/shallotspool/node/sidecar"
 	"github.com/shallotspool/shallotspool/platform"
 	"github.com/shallotspool/shallotspool/platform/standin"
@@ -83,23 +85,12 @@
 	}
 }
 
-// firstTestPort is below the range from which the system takes the ports of outgoing
-// connections, so that none of them takes a port between its choice and its use.
-const firstTestPort = 21000
-
-var nextTestPort = firstTestPort
-
 func (f *restoreFixture) freeAddress() string {
-	for ; ; nextTestPort++ {
-		address := net.JoinHostPort(restoreTestIP, fmt.Sprint(nextTestPort))
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = ln.Close()
-		nextTestPort++
-		return address
+	port, err := freeport.Choose()
+	if err != nil {
+		f.t.Fatal(err)
 	}
+	return net.JoinHostPort(restoreTestIP, strconv.Itoa(port))
 }
 
 // putTable writes a table with one route for each host, to the service s.
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/core/route"
 	"github.com/shallotspool/shallotspool/core/store"
+	"github.com/shallotspool/shallotspool/harness/freeport"
 	"github.com/shallotspool/shallotspool/node/sidecar"
 )
 
@@ -209,12 +210,11 @@
 }
 
 func freePort(t *testing.T) int {
-	ln, err := net.Listen("tcp", "0.0.0.0:0")
+	port, err := freeport.Choose()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 // address returns the address of a listener; port is an index into ports.
