Count requests to a moved upstream where they arrive

The test counted log lines at once, but a node writes them from a queue, so it saw none of them in 5 of 150 runs beside other work. Change: the fake upstream counts the requests that expected another one. The bound stays: exactly one. This is as strict, as it also sees what no line tells.

--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -107,17 +107,21 @@
 	mu       sync.Mutex
 	// received holds the ID, calling service and URI of each request.
 	received []string
-	respond  func(ctx *fasthttp.RequestCtx)
+	// misdirected counts the requests that expected another upstream.
+	misdirected int
+	respond     func(ctx *fasthttp.RequestCtx)
 }
 
 func (u *fakeUpstream) handle(ctx *fasthttp.RequestCtx) {
 	h := &ctx.Request.Header
 	ctx.Response.Header.Set("X-Id", string(h.Peek("X-Id")))
+	u.mu.Lock()
 	if string(h.Peek("X-Expect")) != u.id {
+		u.misdirected++
+		u.mu.Unlock()
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
-	u.mu.Lock()
 	u.received = append(u.received, string(h.Peek("X-Id"))+" "+string(h.Peek("X-Caller"))+" "+string(h.RequestURI()))
 	respond := u.respond
 	u.mu.Unlock()
--- a/node/sidecar/requests_test.go
+++ b/node/sidecar/requests_test.go
@@ -118,7 +118,9 @@
 			t.Fatalf("got %+v, want status 503", got)
 		}
 	}
-	if n := strings.Count(f.logs.String(), "reason=moved"); n != 1 {
+	f.upstreams[deep].mu.Lock()
+	defer f.upstreams[deep].mu.Unlock()
+	if n := f.upstreams[deep].misdirected; n != 1 {
 		t.Fatalf("%d requests were sent to the moved upstream, want 1\n%s", n, f.logs)
 	}
 }
