Let a daemon end that is killed before its servers serve

A server whose Serve begins after Shutdown knows nothing of it and accepts for ever, and Kill waits for its goroutine. Change: the daemon keeps its listeners and closes them after the servers were shut down.

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -67,6 +67,8 @@
 	servers     []*server.Server
 	admin       *admin.Server
 	tasks       *task.Group
+	// listeners are those that the servers serve.
+	listeners []net.Listener
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -184,12 +186,14 @@
 			return err
 		}
 		srv := d.servers[i]
+		d.listeners = append(d.listeners, ln)
 		d.tasks.Go(func() { d.handleServeResult(srv.Serve(ln)) })
 	}
 	ln, err := openListener(&s.ListenAdmin)
 	if err != nil {
 		return err
 	}
+	d.listeners = append(d.listeners, ln)
 	d.tasks.Go(func() { d.handleServeResult(d.admin.Serve(ln)) })
 	return nil
 }
--- a/node/daemon/faults_test.go
+++ b/node/daemon/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -263,3 +265,34 @@
 		}
 	}
 }
+
+// TestKillRightAfterStart guards against a node that waits for ever when it is ended before
+// its servers have begun to serve.
+func TestKillRightAfterStart(t *testing.T) {
+	platform, err := standin.NewPlatform()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(platform.Close)
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	for i := range 100 {
+		s := DefaultSettings()
+		s.Target, s.Service, s.DataCentre = "front-1", "front", "dc0"
+		s.ListenCallers, s.ListenUpstream, s.ListenPeers, s.ListenAdmin = loopback, loopback, loopback, loopback
+		s.UpstreamAddress, s.PlatformAddress = netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort(platform.Address)
+		d, err := Start(s, io.Discard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan struct{})
+		go func() {
+			d.Kill()
+			close(ended)
+		}()
+		select {
+		case <-ended:
+		case <-time.After(30 * time.Second):
+			t.Fatalf("start %d: the node has not ended 30 s after it was killed", i)
+		}
+	}
+}
--- a/node/daemon/stop.go
+++ b/node/daemon/stop.go
@@ -61,6 +61,10 @@
 		d.shutDownListeners()
 		d.hub.Close()
 		_ = d.admin.Shutdown()
+		// A server that begins to serve only now knows nothing of the shutdown.
+		for _, ln := range d.listeners {
+			_ = ln.Close()
+		}
 		d.attempts.Close()
 		d.platform.Close()
 		d.tasks.Wait()
