Count an incoming link only once its connection is handed over

HandleUpgrade counted a link before the server hands the connection over, which it does not if the connection ends first; Hub.Close then waited for ever. Change: the link is counted where its connection arrives, unless the hub is closed, and an upgrade that fails counts nothing.

--- a/node/internal/link/hub.go
+++ b/node/internal/link/hub.go
@@ -57,8 +57,8 @@
 	links map[string]*link
 	// maintained holds, by target, the functions that stop maintaining a link.
 	maintained map[string]context.CancelFunc
-	// incoming counts the links that other nodes dialled, from before the handshake
-	// until the link has ended.
+	// incoming counts the links that other nodes dialled, from when their connection was
+	// handed over until the link has ended.
 	incoming sync.WaitGroup
 	closed   bool
 }
@@ -145,26 +145,36 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	if !h.reserveIncoming() {
+	if !h.hasRoom() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	// The connection may end before it is handed over; the function then never runs.
 	err := upgrader.Upgrade(ctx, func(conn *websocket.Conn) {
+		if !h.countIncoming() {
+			_ = conn.Close()
+			return
+		}
 		defer h.incoming.Done()
 		h.serveIncoming(conn)
 	})
 	if err != nil {
-		h.incoming.Done()
 		h.cfg.OnLinkFailed("", err)
 	}
 }
 
-// reserveIncoming reports whether one more incoming link is allowed and counts
-// it if so.
-func (h *Hub) reserveIncoming() bool {
+// hasRoom reports whether one more link is allowed.
+func (h *Hub) hasRoom() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closed || len(h.links) >= h.cfg.MaxLinks {
+	return !h.closed && len(h.links) < h.cfg.MaxLinks
+}
+
+// countIncoming counts an incoming link. It returns false if the Hub is closed.
+func (h *Hub) countIncoming() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
 		return false
 	}
 	h.incoming.Add(1)
