Make the check for unexpected exits in the fault soak certain

The look whether a process has exited selected between that and a timer of 0, both of which may be ready. Change: the exit is looked at once more after the timer.

--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -170,6 +170,12 @@
 	case <-exited:
 		return true
 	case <-time.After(limit):
+	}
+	// Both may have been ready.
+	select {
+	case <-exited:
+		return true
+	default:
 		return false
 	}
 }
