Add a load pattern with one upstream that names a limit

Change: upstreams of a pattern can name limits; the pattern sets one far below its share of the demand, at the first service and at the deepest.

--- a/harness/loadpattern/node.go
+++ b/harness/loadpattern/node.go
@@ -99,6 +99,7 @@
 // if a call fails and with 504 at the deadline.
 func (n *node) runWork(c *Class, call *mesh.Call, work mesh.Work, done func(mesh.Outcome)) {
 	startedAt, ended := n.w.now, false
+	n.startedRuns = append(n.startedRuns, startedAt)
 	end := func(status int) {
 		if ended {
 			return
@@ -111,9 +112,12 @@
 		case 504:
 			result = mesh.RunTimedOut
 		}
+		n.mesh.RecordNotice(n.w.now, n.notice)
 		n.mesh.WorkDone(n.w.now, work, n.w.now-startedAt, result)
 		n.startPendingWork()
-		done(mesh.Outcome{Kind: mesh.OutcomeAnswered, ReachedUpstream: true, Status: status, Load: n.mesh.Load(), LoadKnown: true})
+		done(mesh.Outcome{
+			Kind: mesh.OutcomeAnswered, ReachedUpstream: true, Status: status, Notice: n.notice, Load: n.mesh.Load(), LoadKnown: true,
+		})
 	}
 	n.w.schedule(max(call.Deadline-n.w.now, 0), func() { end(504) })
 	half := n.halfWorkTime(c)
--- a/harness/loadpattern/world.go
+++ b/harness/loadpattern/world.go
@@ -60,6 +60,9 @@
 	ShedRatios []float64
 	// ShedStart is the time at which the upstreams start to shed.
 	ShedStart time.Duration
+	// RateLimits holds the requests per second that each upstream names as its limit, 0
+	// for none, and repeats if there are more upstreams; empty means none for all.
+	RateLimits []float64
 }
 
 // Demand is a stream of callers' requests of one class, spread over all nodes.
@@ -118,7 +121,10 @@
 	mesh      *mesh.Node
 	speed     float64
 	shedRatio float64
+	notice    mesh.Notice
 	service   *Service
+	// startedRuns holds the times at which runs started at the upstream.
+	startedRuns []time.Duration
 	// pendingWork holds, by work ID, the function that applies the decision on each
 	// queued request.
 	pendingWork map[uint64]func(concurrency.Decision)
@@ -152,6 +158,27 @@
 	return worst
 }
 
+// ExcessOverLimits runs a simulation and returns the largest excess of the runs that start
+// at an upstream within 4 s over one and a half times the limit that it names, and 5; a
+// negative value means that all limits were kept.
+func ExcessOverLimits(spec Spec) (results map[string]Result, excess float64) {
+	const window = 4 * time.Second
+	results, w := simulate(spec)
+	excess = -5
+	for _, n := range w.nodes {
+		for _, at := range n.startedRuns {
+			if !n.notice.Limited || at < limitNoticeTime {
+				continue
+			}
+			excess = max(excess, float64(countWithin(n.startedRuns, at, window))-1.5*n.notice.RateLimit*window.Seconds()-5)
+		}
+	}
+	return results, excess
+}
+
+// limitNoticeTime is the time within which a limit must take effect.
+const limitNoticeTime = 3 * time.Second
+
 // countWithin counts the times in the window that begins at from. times must be
 // sorted.
 func countWithin(times []time.Duration, from, window time.Duration) int {
@@ -208,6 +235,10 @@
 			if len(s.ShedRatios) > 0 {
 				n.shedRatio = s.ShedRatios[i%len(s.ShedRatios)]
 			}
+			if len(s.RateLimits) > 0 {
+				limit := s.RateLimits[i%len(s.RateLimits)]
+				n.notice = mesh.Notice{RateLimit: limit, Limited: limit > 0}
+			}
 			n.mesh = mesh.New(mesh.Config{
 				Instance: ip, Incarnation: 1, Service: s.Name, DataCentre: "a", Seed: w.spec.Seed + uint64(len(w.nodes)),
 				RetryBounds: retryBounds,
