Send a request that crashes upstreams in the fault soak

Change: a fault sends the same request again and again at any ready node; each upstream that runs it ends for a second.

--- a/harness/faults/checks_test.go
+++ b/harness/faults/checks_test.go
@@ -38,7 +38,14 @@
 		"whole":       func(h *history) { h.requests["c2"].gotBody = responseBody(frontService, "c3") },
 		"retry_after": func(h *history) { h.requests["c1"].status = 503 },
 		"lost":        func(h *history) { h.requests["c2"].status = 0 },
-		"drain":       func(h *history) { h.drains = []drainPeriod{{upstream: "u0", from: 10 * time.Second}} },
+		"crasher": func(h *history) {
+			for i := range maxUpstreamsCrashed + maxLateCrashes + 1 {
+				id := crasherID + string(rune('a'+i))
+				h.requests[id] = &request{id: id, node: 1, fromUpstream: true}
+				h.arrivals = append(h.arrivals, arrival{arrivedAt: time.Duration(i) * faultEffectTime, id: id, service: leafService, upstream: "u1"})
+			}
+		},
+		"drain": func(h *history) { h.drains = []drainPeriod{{upstream: "u0", from: 10 * time.Second}} },
 		"config_back": func(h *history) {
 			late := *h.requests["c1"]
 			late.id, late.status, late.sentAt, late.endedAt = "c4", 404, late.sentAt+time.Second, late.endedAt+time.Second
--- /dev/null
+++ b/harness/faults/crasher.go
@@ -0,0 +1,103 @@
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/platform"
+)
+
+const (
+	// crasherID begins the IDs of a request that crashes each upstream that runs it.
+	crasherID = "crasher"
+	// crasherPeriod is how long that request is sent, crasherPause the pause after each.
+	crasherPeriod = 12 * time.Second
+	crasherPause  = 300 * time.Millisecond
+	// upstreamDowntime is how long a crashed upstream stays down.
+	upstreamDowntime = time.Second
+	// maxUpstreamsCrashed is the number of upstreams that such a request may crash before
+	// the nodes must have stopped it, maxLateCrashes the number of sends that may still
+	// reach one after faultEffectTime.
+	maxUpstreamsCrashed = 3
+	maxLateCrashes      = 3
+)
+
+// sendCrasher sends a request with the same content again and again, at any ready node,
+// and starts the upstreams that it crashed again.
+func (r *runner) sendCrasher() (wait func()) {
+	var sends conc.WaitGroup
+	sends.Go(func() {
+		random := rand.New(rand.NewPCG(r.options.Seed, 99))
+		for i, end := 0, time.Now().Add(crasherPeriod); time.Now().Before(end); i++ {
+			if node := r.randomReadyInstance(random); node != nil {
+				sends.Go(func() { r.sendCrasherTo(node, i) })
+			}
+			time.Sleep(crasherPause)
+		}
+	})
+	sends.Go(func() {
+		for end := time.Now().Add(crasherPeriod + callTimeout); time.Now().Before(end); time.Sleep(upstreamDowntime) {
+			for _, n := range r.instances {
+				r.recordError(n.upstream.start())
+			}
+		}
+	})
+	return sends.Wait
+}
+
+func (r *runner) sendCrasherTo(n *instance, i int) {
+	id := fmt.Sprintf("%s-%d", crasherID, i)
+	r.history.recordRequest(&request{id: id, node: n.index, idempotent: true, fromUpstream: true, timeout: callTimeout})
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + n.address(n.ports.callers) + "/leaf/" + crasherID)
+	req.UseHostHeader = true
+	req.Header.SetHost(virtualHost)
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	// Its answer is of no interest, and no failure of it is one of the nodes.
+	if fasthttp.DoTimeout(req, resp, callTimeout) == nil {
+		fasthttp.ReleaseRequest(req)
+		fasthttp.ReleaseResponse(resp)
+	}
+}
+
+// findCrashersNotStopped finds requests that still reach upstreams long after they crashed
+// enough of them to be recognised. Sends from nodes that had a fault of their own shortly
+// before do not count.
+func findCrashersNotStopped(h *history) (violations []string) {
+	var crashes []arrival
+	for _, a := range h.arrivals {
+		if strings.HasPrefix(a.id, crasherID) {
+			crashes = append(crashes, a)
+		}
+	}
+	late := 0
+	for i, a := range crashes {
+		if i < maxUpstreamsCrashed || a.arrivedAt < crashes[maxUpstreamsCrashed-1].arrivedAt+faultEffectTime {
+			continue
+		}
+		if sent := h.requests[a.id]; !h.nodeHadFault(a.arrivedAt-faultEffectTime, a.arrivedAt, sent.node) {
+			late++
+		}
+	}
+	if late > maxLateCrashes {
+		violations = append(violations, fmt.Sprintf("the request crashed %d upstreams, %d of them too late", len(crashes), late))
+	}
+	return violations
+}
+
+// nodeHadFault returns whether a fault was active on one instance between two times.
+func (h *history) nodeHadFault(from, to time.Duration, instance int) bool {
+	for _, f := range h.faults {
+		if f.instance == instance && f.from <= to && (f.to == 0 || f.to >= from) {
+			return true
+		}
+	}
+	return false
+}
--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -98,6 +98,7 @@
 			return nil, err
 		}
 	}
+	n.upstream.proxy = n.upstreamProxy
 	return n, n.upstream.start()
 }
 
--- a/harness/faults/proxy.go
+++ b/harness/faults/proxy.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// proxy forwards TCP connections and can delay, drop or reset their traffic.
+// proxy forwards TCP connections and can delay, drop or reset their traffic. refuse and
+// listen must not be called concurrently.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -29,14 +30,28 @@
 		return nil, err
 	}
 	p := &proxy{listener: ln, target: target, conns: map[net.Conn]struct{}{}}
-	go p.accept()
+	go p.accept(ln)
 	return p, nil
 }
 
+// refuse makes the proxy refuse new connections, as the target does when its process has
+// ended. listen ends that.
+func (p *proxy) refuse() { _ = p.listener.Close() }
+
+func (p *proxy) listen() error {
+	ln, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.listener = ln
+	go p.accept(ln)
+	return nil
+}
+
 // accept forwards connections until the listener is closed.
-func (p *proxy) accept() {
+func (p *proxy) accept(ln net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/harness/faults/schedule.go
+++ b/harness/faults/schedule.go
@@ -84,6 +84,7 @@
 		n.upstream.crash()
 		return func() { r.recordError(n.upstream.start()) }
 	}},
+	{name: "crasher", global: true, inject: func(r *runner, _ *instance) func() { return r.sendCrasher() }},
 	{name: "drain", planned: true, inject: func(r *runner, n *instance) func() {
 		r.setDraining(n, true)
 		return func() { r.setDraining(n, false) }
--- a/harness/faults/upstream.go
+++ b/harness/faults/upstream.go
@@ -33,16 +33,30 @@
 	mu     sync.Mutex
 	server *fasthttp.Server
 	conns  map[net.Conn]struct{}
+	// serving is false before start and after crash.
+	serving bool
+	// proxy refuses connections while the upstream does not serve.
+	proxy *proxy
 }
 
-// start starts to accept connections.
+// start starts to accept connections, unless it does already.
 func (u *upstream) start() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.serving {
+		return nil
+	}
 	ln, err := net.Listen("tcp", u.address)
 	if err != nil {
 		return err
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
+	if u.server != nil {
+		if err := u.proxy.listen(); err != nil {
+			_ = ln.Close()
+			return err
+		}
+	}
+	u.serving = true
 	u.conns = map[net.Conn]struct{}{}
 	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, ConnState: u.trackConn, Logger: discardLogger{}}
 	server := u.server
@@ -70,12 +84,18 @@
 // crash resets all connections and stops the server.
 func (u *upstream) crash() {
 	u.mu.Lock()
-	server := u.server
+	server, serving := u.server, u.serving
+	u.serving = false
+	if serving {
+		u.proxy.refuse()
+	}
 	for c := range u.conns {
 		resetConnection(c)
 	}
 	u.mu.Unlock()
-	go func() { _ = server.Shutdown() }()
+	if serving {
+		go func() { _ = server.Shutdown() }()
+	}
 }
 
 const (
@@ -105,6 +125,10 @@
 	case expected != "" && expected != u.id:
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
+	case strings.HasPrefix(id, crasherID):
+		u.history.recordArrival(a)
+		u.crash()
+		return
 	case u.shedding.Load() && u.requestCount.Add(1)%2 == 0:
 		a.executed = false
 		u.history.recordArrival(a)
