Keep a moved registration out for longer than a minute

Cause: moved registrations were put among the removed ones, which are forgotten after a minute, so a later listing would have brought one back; and a listing of an era before the known one was repeated without a growing pause. Comments on the protocol follow the code. Result: TestMovedEntryIsIgnoredUntilChanged, with an hour added, failed before and passes; go test ./core/registry ./core/mesh ./node/... passed.

--- a/core/mesh/doc.go
+++ b/core/mesh/doc.go
@@ -18,6 +18,11 @@
 // rank, or refuses it. NextWork and ExpireWork decide on queued ones. WorkDone or
 // WorkRefused ends it.
 //
+// An upstream may name a limit in its answers, in requests per second from all instances
+// together, or say that it leaves. RecordNotice holds the work at the local upstream to the
+// limit until an answer no longer names it. The node where a request entered treats an
+// upstream that leaves as draining.
+//
 // An attempt that neither ran nor reached an upstream is repeated outside the bounds on
 // retries. Others are repeated only within them: on any route if the attempt did not run,
 // on idempotent routes also after a server error or if it may have run.
@@ -47,8 +52,10 @@
 //
 // In each data centre the first two nodes in a fixed order that are in touch with the
 // store read it; the others follow. A follower, or a node that the store does not answer,
-// looks in the heartbeats for a newer table version or revision, or for another digest at
-// the first reader. NewerPeer names the instance to ask, StateSince makes its reply, and
+// looks in the heartbeats for a newer table version or position, or for another digest at
+// the first reader. A reader does so for a newer table only. The store may be restored from
+// an older copy: it then goes on in the next era, and ApplyRead discards a watch that was
+// answered there. NewerPeer names the instance to ask, StateSince makes its reply, and
 // ApplyState takes it over.
 //
 // # Terms
@@ -65,6 +72,7 @@
 //   - retry: an attempt after one that reached an upstream, or a call made for its run.
 //   - induced retry: a call to a service caused by a retry at another service.
 //   - reader, follower: a node that reads the store, or leaves that to the readers.
+//   - position: an era and a revision of the store.
 //   - digest: a hash of a node's set of registrations.
 //   - parent request: the request at the local upstream for which a call is made.
 package mesh
--- a/core/mesh/events.go
+++ b/core/mesh/events.go
@@ -28,7 +28,8 @@
 	EventLimitNamed
 	// EventLimitLifted means that the local upstream no longer names a rate limit.
 	EventLimitLifted
-	// EventUpstreamLeaving means that the local upstream says that it is about to leave.
+	// EventUpstreamLeaving means that an upstream says in an answer that it is about to
+	// leave.
 	EventUpstreamLeaving
 )
 
--- a/core/registry/precedence.go
+++ b/core/registry/precedence.go
@@ -9,11 +9,14 @@
 // store cannot bring it back. Copies are some seconds old.
 const removalMemory = time.Minute
 
-// removal is an entry that was removed, or moved to another address. Its Revision is the
-// one that a later entry must exceed in the same era.
+// removal is an entry that was removed, or whose address belongs to another upstream. Its
+// Revision is the one that a later entry must exceed in the same era.
 type removal struct {
 	Upstream
 	at time.Duration
+	// moved is true if the address belongs to another upstream. The store may list such an
+	// entry for a long time.
+	moved bool
 }
 
 // newerContent reports whether the upstream wrote the entry a after the entry b, by the
@@ -57,6 +60,14 @@
 	r.removals[u.ID] = removal{Upstream: u, at: now}
 }
 
+// rememberMove records that the address of an entry belongs to another upstream.
+func (r *Registry) rememberMove(now time.Duration, u Upstream) {
+	r.rememberRemoval(now, u, u.Revision)
+	moved := r.removals[u.ID]
+	moved.moved = true
+	r.removals[u.ID] = moved
+}
+
 // MarkLeaving records that an upstream said in its run since born that it leaves. It
 // drains from then on, whatever the store says of the same run. MarkLeaving reports whether
 // it did not before.
@@ -102,7 +113,7 @@
 
 func (r *Registry) forgetRemovals(now time.Duration) {
 	for id, removed := range r.removals {
-		if now >= removed.at+removalMemory {
+		if !removed.moved && now >= removed.at+removalMemory {
 			delete(r.removals, id)
 		}
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -151,9 +151,9 @@
 	return true
 }
 
-// Advance records that all changes up to a position of the store are applied. In a new era, entries
-// that are missing from the store have a grace period to return, because the upstreams
-// have to write again what the store lost.
+// Advance records that all changes up to a position of the store are applied. In a new
+// era, entries that are missing from the store have a grace period to return, because the
+// upstreams have to write again what the store lost.
 func (r *Registry) Advance(now time.Duration, position Position) {
 	if position.Era > r.position.Era && len(r.entries) > 0 {
 		r.restoreGraceEndsAt = now + ReturnGracePeriod
@@ -300,7 +300,7 @@
 	if e == nil {
 		return
 	}
-	r.rememberRemoval(now, e.Upstream, e.Revision)
+	r.rememberMove(now, e.Upstream)
 	delete(r.entries, id)
 	r.rebuildIndex()
 }
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -85,7 +85,10 @@
 	expectUpstreams(t, r, "")
 	r.Replace(0, []registry.Change{entry("a", "1", 1)}, at(2))
 	expectUpstreams(t, r, "")
-	r.Apply(0, []registry.Change{entry("a", "1", 3)})
+	r.Tick(time.Hour)
+	r.Replace(time.Hour, []registry.Change{entry("a", "1", 1)}, at(2))
+	expectUpstreams(t, r, "")
+	r.Apply(time.Hour, []registry.Change{entry("a", "1", 3)})
 	expectUpstreams(t, r, "a")
 }
 
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -110,7 +110,7 @@
 	case errors.Is(err, mesh.ErrStoreRestored):
 		r.sidecar.log.Warn("store restored", field("era", changes.Era), field("revision", changes.Revision),
 			field("previous_era", r.position.Era), field("previous_revision", r.position.Revision), field("listed", read.List))
-		r.sidecar.sleepWithJitter(minBackoff)
+		r.waitBeforeNextRead()
 	case errors.Is(err, store.ErrRevisionGone):
 		r.sidecar.log.Warn("store history gone", field("era", r.position.Era), field("revision", r.position.Revision))
 		r.sidecar.mu.Lock()
@@ -138,6 +138,11 @@
 		r.sidecar.log.Warn("store lost", field("era", r.position.Era), field("revision", r.position.Revision), field("error", err))
 		r.sidecar.markStoreLost()
 	}
+	r.waitBeforeNextRead()
+}
+
+// waitBeforeNextRead waits after a failed read, longer after each further one.
+func (r *storeReadLoop) waitBeforeNextRead() {
 	r.sidecar.sleepWithJitter(r.backoff)
 	r.backoff = min(2*r.backoff, maxBackoff)
 }
