Refuse a named limit that is not finite

What callers saw: nothing; found in reading the diff. A limit of Inf made the token bucket hold no number and stopped all requests to that upstream. Cause: only negative values and NaN were refused, in two places. Change: one function decodes a limit, for the header and between nodes. Result: TestRateLimitMustBeFinite is new and passes; Inf was taken before.

--- a/node/sidecar/node_headers.go
+++ b/node/sidecar/node_headers.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -69,11 +68,9 @@
 	text, isRetry := strings.CutSuffix(text, " rerun")
 	text, limitText, limited := strings.Cut(text, limitPrefix)
 	if limited {
-		limit, err := strconv.ParseFloat(limitText, 64)
-		if err != nil || math.IsNaN(limit) || limit < 0 {
+		if req.rateLimit, req.limited = parseRateLimit(limitText); !req.limited {
 			return false
 		}
-		req.rateLimit, req.limited = limit, true
 	}
 	parts := strings.Split(text, " ")
 	if len(parts) != 4 {
--- a/node/sidecar/node_headers_test.go
+++ b/node/sidecar/node_headers_test.go
@@ -9,6 +9,16 @@
 	"github.com/shallotspool/shallotspool/core/mesh"
 )
 
+// TestRateLimitMustBeFinite guards against a limit that stops all requests to an upstream
+// for good, because it is not a number to reckon with.
+func TestRateLimitMustBeFinite(t *testing.T) {
+	for text, want := range map[string]bool{"8.3": true, "0": true, "": false, "-1": false, "NaN": false, "Inf": false, "1e999": false, "8,3": false} {
+		if limit, ok := parseRateLimit(text); ok != want {
+			t.Errorf("%q: got %v and %v, want %v", text, limit, ok, want)
+		}
+	}
+}
+
 // TestNodeHeadersRoundTrip checks that the header fields between nodes decode to what
 // was encoded, and that arbitrary text does not cause a panic.
 func TestNodeHeadersRoundTrip(t *testing.T) {
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -201,8 +201,8 @@
 	if len(text) == 0 {
 		return notice
 	}
-	limit, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || math.IsNaN(limit) || limit < 0 {
+	limit, ok := parseRateLimit(string(text))
+	if !ok {
 		s.log.Warn("invalid rate limit of upstream", field("limit", string(text)))
 		return notice
 	}
@@ -210,6 +210,13 @@
 	return notice
 }
 
+// parseRateLimit decodes a limit in requests per second. It returns false for malformed
+// text and for a number that is negative or not finite.
+func parseRateLimit(text string) (perSecond float64, ok bool) {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	return perSecond, err == nil && perSecond >= 0 && !math.IsInf(perSecond, 0)
+}
+
 // acquireSlot waits until the local upstream has a free slot for req. It returns the reason
 // if req is refused. Otherwise the caller must release the slot with WorkDone.
 func (s *Sidecar) acquireSlot(ctx context.Context, req *upstreamRequest) (mesh.Work, mesh.Reason) {
