Log when a request is blocked for crashes, and count refused repeats by cause

Nothing in the logs told when a node had begun to fail such a request, on whose report, or that a lost answer was not taken for a crash; nothing told why a repeat was not made, or how long a node had been up.

Adds the lines request blocked, request cleared and answer lost, the counter shallot_repeats_refused_total by cause and the gauge shallot_uptime_seconds. No decision changes. go test ./core/mesh ./node/sidecar: passed.

--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -53,6 +53,51 @@
 	// allRequests counts the requests to any service. blindRetries counts the retries
 	// of requests for which the calls they cause were not known.
 	allRequests, blindRetries windowCounter
+	// refused counts the retries that were not made, by cause.
+	refused [retryCauses]uint64
+}
+
+// RetryCause states why a retry was not made.
+type RetryCause uint8
+
+// The causes.
+const (
+	// RetriesArrived means that the retries that arrived at a service, from all nodes, are
+	// near the bound.
+	RetriesArrived RetryCause = iota
+	// RetriesSpent means that this node has made its part of the retries at the service.
+	RetriesSpent
+	// RetriesInduced means that this node's retries have caused its part of the calls at
+	// another service.
+	RetriesInduced
+	// RetriesBlind means that the calls that the retry would cause are not known.
+	RetriesBlind
+	retryCauses
+)
+
+// String returns the name of the cause in metrics.
+func (c RetryCause) String() string {
+	return [...]string{"arrived", "spent", "induced", "blind"}[c]
+}
+
+// refuse counts a retry that is not made.
+func (b *retryBudget) refuse(cause RetryCause) bool {
+	b.refused[cause]++
+	return false
+}
+
+// RefusedRetries is the number of retries that a node did not make for one cause.
+type RefusedRetries struct {
+	Cause RetryCause
+	Count uint64
+}
+
+// RefusedRetries returns the number of retries that this node did not make, by cause.
+func (n *Node) RefusedRetries() (out []RefusedRetries) {
+	for cause := range retryCauses {
+		out = append(out, RefusedRetries{cause, n.budget.refused[cause]})
+	}
+	return out
 }
 
 // serviceBudget counts, within the window, the requests this node sent to one service,
@@ -183,16 +228,22 @@
 // request. Until then only an idle node retries them.
 func (n *Node) chargeRetry(now time.Duration, c *Call) bool {
 	window := n.budget.bounds.Window
-	if n.retriesExhausted(c, c.Service, 1) || n.budget.service(c.Service).direct.sum(now, window)+1 > n.directAllowance(now, c.Service) {
-		return false
+	if n.retriesExhausted(c, c.Service, 1) {
+		return n.budget.refuse(RetriesArrived)
+	}
+	if n.budget.service(c.Service).direct.sum(now, window)+1 > n.directAllowance(now, c.Service) {
+		return n.budget.refuse(RetriesSpent)
 	}
 	costs, known := n.inducedCosts(c)
 	if !known && !n.budget.idle(now) {
-		return false
+		return n.budget.refuse(RetriesBlind)
 	}
 	for service, cost := range costs {
-		if n.retriesExhausted(c, service, cost) || n.budget.service(service).induced.sum(now, window)+cost > n.inducedAllowance(service) {
-			return false
+		if n.retriesExhausted(c, service, cost) {
+			return n.budget.refuse(RetriesArrived)
+		}
+		if n.budget.service(service).induced.sum(now, window)+cost > n.inducedAllowance(service) {
+			return n.budget.refuse(RetriesInduced)
 		}
 	}
 	n.budget.service(c.Service).direct.add(now, window, 1)
--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -33,18 +33,38 @@
 
 // RecordCrash records that the local upstream crashed while it ran w.
 func (n *Node) RecordCrash(now time.Duration, w Work) {
-	n.crashRecords.RecordCrash(now, n.cfg.Instance, w.Fingerprint)
+	n.changeCrashRecord(now, n.cfg.Instance, w.Fingerprint, func() {
+		n.crashRecords.RecordCrash(now, n.cfg.Instance, w.Fingerprint)
+	})
+}
+
+// changeCrashRecord changes the record of a request as instance reports it, and records an
+// event if that changes whether the request may run.
+func (n *Node) changeCrashRecord(now time.Duration, instance string, fingerprint uint64, change func()) {
+	wasBlocked := n.crashesUpstreams(now, fingerprint)
+	change()
+	blocked := n.crashesUpstreams(now, fingerprint)
+	if blocked == wasBlocked {
+		return
+	}
+	e := Event{Kind: EventRequestCleared, Instance: instance, Fingerprint: fingerprint}
+	if blocked {
+		e.Kind, e.Crashes = EventRequestBlocked, n.crashRecords.Crashes(fingerprint)
+	}
+	n.recordEvent(e)
 }
 
 // recordCrashes records the crashes that another node reports.
 func (n *Node) recordCrashes(now time.Duration, instance string, list []CrashStat) {
 	for _, crash := range list {
 		remaining := min(time.Duration(crash.RemainingMS)*time.Millisecond, crashMemory)
-		if crash.Crashes == 0 {
-			n.crashRecords.MergeSuccess(now, crash.Fingerprint, remaining)
-			continue
-		}
-		n.crashRecords.MergeReport(now, instance, crash.Fingerprint, crash.Crashes, remaining)
+		n.changeCrashRecord(now, instance, crash.Fingerprint, func() {
+			if crash.Crashes == 0 {
+				n.crashRecords.MergeSuccess(now, crash.Fingerprint, remaining)
+				return
+			}
+			n.crashRecords.MergeReport(now, instance, crash.Fingerprint, crash.Crashes, remaining)
+		})
 	}
 }
 
--- a/core/mesh/events.go
+++ b/core/mesh/events.go
@@ -31,6 +31,11 @@
 	// EventUpstreamLeaving means that an upstream says in an answer that it is about to
 	// leave.
 	EventUpstreamLeaving
+	// EventRequestBlocked means that a request has crashed so many upstreams that it is
+	// no longer run.
+	EventRequestBlocked
+	// EventRequestCleared means that a request that was blocked may run again.
+	EventRequestCleared
 )
 
 // String returns the log message of the event.
@@ -38,6 +43,7 @@
 	return [...]string{
 		"none", "upstream ejected", "upstream readmitted", "node silent", "node heard", "upstream faulty", "upstream sound",
 		"upstream named limit", "upstream lifted limit", "upstream leaving",
+		"request blocked", "request cleared",
 	}[k]
 }
 
@@ -54,6 +60,10 @@
 	RateLimit float64
 	// HeartbeatAge is the time since the last heartbeat of the instance.
 	HeartbeatAge time.Duration
+	// Fingerprint identifies the request that was blocked or cleared; Crashes is the
+	// number of crashes recorded for it.
+	Fingerprint uint64
+	Crashes     int
 }
 
 // maxEvents bounds the buffered events. Further ones are dropped.
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -85,6 +85,14 @@
 	return Suspect
 }
 
+// Crashes returns the number of crashes recorded for a request.
+func (t *Table) Crashes(fingerprint uint64) int {
+	if r := t.records[fingerprint]; r != nil {
+		return r.TotalCrashes()
+	}
+	return 0
+}
+
 // RecordCrash records a crash of target's upstream while fingerprint was in flight.
 // It returns the number of such crashes at target, at most MaxCrashes, or 1 if the
 // table is full.
--- a/node/sidecar/gauges.go
+++ b/node/sidecar/gauges.go
@@ -48,6 +48,10 @@
 		add("shallot_repeats_allowed", "service", retries.Service, retries.Allowed)
 		add("shallot_repeats_left", "service", retries.Service, retries.Left)
 	}
+	for _, refused := range s.node.RefusedRetries() {
+		add("shallot_repeats_refused_total", "cause", refused.Cause.String(), float64(refused.Count))
+	}
+	add("shallot_uptime_seconds", "", "", now.Seconds())
 	for _, peer := range s.node.PeerReports(now) {
 		add("shallot_heartbeat_age_seconds", "instance", peer.Instance, peer.HeartbeatAge.Seconds())
 		add("shallot_faults_ratio", "instance", peer.Instance, peer.FaultShare)
--- a/node/sidecar/logs.go
+++ b/node/sidecar/logs.go
@@ -74,7 +74,11 @@
 // logPeerEvents logs changes in the states that the node assigns to other instances.
 func (s *Sidecar) logPeerEvents(events []mesh.Event) {
 	for _, e := range events {
-		if e.Kind >= mesh.EventLimitNamed {
+		switch e.Kind {
+		case mesh.EventRequestBlocked, mesh.EventRequestCleared:
+			s.log.Info(e.Kind.String(), fingerprintField(e.Fingerprint), field("crashes", e.Crashes), field("instance", e.Instance))
+			continue
+		case mesh.EventLimitNamed, mesh.EventLimitLifted, mesh.EventUpstreamLeaving:
 			s.log.Info(e.Kind.String(), field("instance", e.Instance), field("limit_per_second", e.RateLimit))
 			continue
 		}
@@ -100,8 +104,17 @@
 // requests that ran at that time.
 func (s *Sidecar) logCrash(w mesh.Work, running int) {
 	s.metrics.AddToCounter("shallot_requests_at_crash_total", 1)
-	s.log.Warn("upstream crashed", field("request", w.RequestID), field("fingerprint", strconv.FormatUint(w.Fingerprint, 16)),
-		field("running", running))
+	s.log.Warn("upstream crashed", field("request", w.RequestID), fingerprintField(w.Fingerprint), field("running", running))
+}
+
+// logUnexplainedLoss logs that the answer to w was lost while the local upstream still
+// accepts connections, so that the loss does not count as a crash.
+func (s *Sidecar) logUnexplainedLoss(w mesh.Work, running int) {
+	s.log.Info("answer lost", field("request", w.RequestID), fingerprintField(w.Fingerprint), field("running", running))
+}
+
+func fingerprintField(fingerprint uint64) logging.Field {
+	return field("fingerprint", strconv.FormatUint(fingerprint, 16))
 }
 
 // countRequest records a finished request in the metrics. c is nil as for logResult.
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -82,7 +82,8 @@
 			s.mu.Unlock()
 		}
 	}
-	crashed := o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonLost && ctx.Err() == nil && s.upstreamRefusesConnections()
+	lost := o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonLost && ctx.Err() == nil
+	crashed := lost && s.upstreamRefusesConnections()
 	s.mu.Lock()
 	now := s.now()
 	if crashed {
@@ -99,8 +100,11 @@
 	s.node.WorkDone(now, work, now-started, result)
 	s.dispatchQueuedWork(now)
 	s.mu.Unlock()
-	if crashed {
+	switch {
+	case crashed:
 		s.logCrash(work, running)
+	case lost:
+		s.logUnexplainedLoss(work, running)
 	}
 	return o
 }
