--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -16,26 +16,37 @@
 // upstreams of service "a", 10.0.0.3 and 10.0.0.4 beside upstreams of service "b". Each
 // upstream has 10 slots, so its concurrency limit is 9.
 func newFleet(t interface{ Fatalf(string, ...any) }, routes ...*route.Route) []*Node {
-	table := &route.Table{Version: 1, Routes: routes}
-	table.BuildIndex()
-	var changes []registry.Change
+	var nodes []*Node
+	for _, c := range testRegistrations() {
+		nodes = append(nodes, startNode(t, Config{
+			Instance: c.Upstream.Instance, Incarnation: 1, Service: c.Upstream.Service, DataCentre: "x", Seed: 1, RetryBounds: testRetryBounds,
+		}, routes...))
+	}
+	return nodes
+}
+
+// testRegistrations returns the registrations of the upstreams of newFleet.
+func testRegistrations() (changes []registry.Change) {
 	for i, service := range []string{"a", "a", "b", "b"} {
 		ip := "10.0.0." + string(rune('1'+i))
 		changes = append(changes, registry.Change{ID: "i-" + ip, Revision: uint64(i + 1), Upstream: &registry.Upstream{
 			ID: "i-" + ip, Service: service, Address: ip + ":80", Instance: ip, DataCentre: "x", Slots: 10, Revision: uint64(i + 1),
 		}})
 	}
-	var nodes []*Node
-	for _, c := range changes {
-		n := New(Config{Instance: c.Upstream.Instance, Incarnation: 1, Service: c.Upstream.Service, DataCentre: "x", Seed: 1, RetryBounds: testRetryBounds})
-		if !n.SetTable(0, table) {
-			t.Fatalf("routing table not accepted")
-		}
-		n.Registry().Replace(0, changes, registry.Position{Revision: 9})
-		n.RegistryChanged()
-		nodes = append(nodes, n)
+	return changes
+}
+
+// startNode returns a node that knows the upstreams of newFleet and the routes.
+func startNode(t interface{ Fatalf(string, ...any) }, cfg Config, routes ...*route.Route) *Node {
+	table := &route.Table{Version: 1, Routes: routes}
+	table.BuildIndex()
+	n := New(cfg)
+	if !n.SetTable(0, table) {
+		t.Fatalf("routing table not accepted")
 	}
-	return nodes
+	n.Registry().Replace(0, testRegistrations(), registry.Position{Revision: 9})
+	n.RegistryChanged()
+	return n
 }
 
 func testRoute(service string, idempotent bool) *route.Route {
@@ -85,14 +96,6 @@
 				step = n.EndAttempt(now, c, Outcome{Kind: OutcomeUnknown, Reason: ReasonLost, ReachedUpstream: true})
 			}
 		}
-		countWithin := func(list []time.Duration, from time.Duration) (count int) {
-			for _, at := range list {
-				if at >= from && at < from+testRetryBounds.Window {
-					count++
-				}
-			}
-			return count
-		}
 		for _, from := range retries {
 			allowed := testRetryBounds.Slack + testRetryBounds.Ratio*float64(countWithin(requests, from))
 			if got := countWithin(retries, from); float64(got) > allowed {
@@ -209,3 +212,55 @@
 		}
 	}
 }
+
+// TestRestartedNodesStayWithinRetryBounds guards against more retries than allowed because
+// each node that starts has a share of its own, whatever its earlier process spent.
+func TestRestartedNodesStayWithinRetryBounds(t *testing.T) {
+	const requestInterval = 25 * time.Millisecond
+	for _, lifetime := range []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond, 3500 * time.Millisecond, 9 * time.Second, 11 * time.Second} {
+		for _, unknownCalls := range []bool{false, true} {
+			nodes, births := newFleet(t, testRoute("a", true)), map[int]time.Duration{}
+			if !unknownCalls {
+				for _, n := range nodes {
+					learnNoDownstreamCalls(n)
+				}
+			}
+			var requests, retries []time.Duration
+			for now := time.Second; now < time.Minute; now += requestInterval {
+				i := len(requests) % len(nodes)
+				if now-births[i] > lifetime {
+					births[i] = now
+					nodes[i] = startNode(t, nodes[i].cfg, testRoute("a", true))
+					if !unknownCalls {
+						learnNoDownstreamCalls(nodes[i])
+					}
+				}
+				requests = append(requests, now)
+				c, step := nodes[i].StartCall(now-births[i], IncomingRequest{ID: "1", Host: "h", Path: "/a/1"})
+				for step.Kind == StepSend {
+					if c.Attempts() > 1 {
+						retries = append(retries, now)
+					}
+					step = nodes[i].EndAttempt(now-births[i], c, Outcome{Kind: OutcomeUnknown, Reason: ReasonLost, ReachedUpstream: true})
+				}
+			}
+			for _, from := range retries {
+				allowed := testRetryBounds.Slack + testRetryBounds.Ratio*testRetryBounds.Window.Seconds()/requestInterval.Seconds()
+				if got := countWithin(retries, from); float64(got) > allowed {
+					t.Errorf("restarted after %v, calls unknown %v: %d retries within a window, %.0f allowed", lifetime, unknownCalls, got, allowed)
+					break
+				}
+			}
+		}
+	}
+}
+
+// countWithin counts the times in the retry window that starts at from.
+func countWithin(list []time.Duration, from time.Duration) (count int) {
+	for _, at := range list {
+		if at >= from && at < from+testRetryBounds.Window {
+			count++
+		}
+	}
+	return count
+}
--- a/core/mesh/crash_spread_test.go
+++ b/core/mesh/crash_spread_test.go
@@ -183,3 +183,109 @@
 		t.Errorf("step %+v where the request entered, want StepFail with ReasonCrasher and no further attempt", step)
 	}
 }
+
+// send lets a request enter at a node and follows it to its end. crashes tells whether an
+// upstream that runs it ends; it is back at once. It returns the last step and the number
+// of upstreams that ran the request.
+func (f *crashFleet) send(entry *Node, fingerprint uint64, crashes bool) (last Step, runs int) {
+	c, step := entry.StartCall(f.now, IncomingRequest{ID: fmt.Sprint("c", f.now), Host: "h", Path: "/b/1", Fingerprint: fingerprint})
+	for step.Kind == StepSend {
+		beside := entry
+		for _, n := range f.nodes {
+			if n.cfg.Instance == step.Target.Instance {
+				beside = n
+			}
+		}
+		f.lastWorkID++
+		w := Work{ID: f.lastWorkID, RequestID: fmt.Sprint("r", f.lastWorkID), Fingerprint: fingerprint, Deadline: time.Hour}
+		o := Outcome{Kind: OutcomeAnswered, Status: 200, ReachedUpstream: true}
+		switch {
+		case beside.BlocksWork(f.now, w):
+			o = Outcome{Kind: OutcomeNotRun, Reason: ReasonCrasher}
+		case crashes:
+			runs++
+			beside.OfferWork(f.now, w)
+			beside.RecordCrash(f.now, w)
+			beside.WorkDone(f.now, w, time.Millisecond, RunUnreachable)
+			beside.UpstreamRecovered()
+			o = Outcome{Kind: OutcomeUnknown, Reason: ReasonLost, ReachedUpstream: true}
+		default:
+			runs++
+			beside.OfferWork(f.now, w)
+			beside.WorkDone(f.now, w, time.Millisecond, RunSucceeded)
+		}
+		step = entry.EndAttempt(f.now, c, o)
+	}
+	return step, runs
+}
+
+// The platform allows a request that has crashed maxCrashed upstreams to reach maxLateRuns
+// more, from spreadTime after the last of these crashes on.
+const (
+	maxCrashed  = 3
+	maxLateRuns = 3
+)
+
+// TestRequestThatKeepsComingStaysBlocked guards against a request that crashes as many
+// upstreams again each time its records have ended.
+func TestRequestThatKeepsComingStaysBlocked(t *testing.T) {
+	f := newCrashFleet(t)
+	runs, lateRuns, thirdCrash := 0, 0, time.Duration(0)
+	for end := f.now + 30*time.Minute; f.now < end; f.advance(HeartbeatInterval) {
+		for _, n := range f.nodes {
+			_, ran := f.send(n, crasherFingerprint, true)
+			if runs < maxCrashed && runs+ran >= maxCrashed {
+				thirdCrash = f.now
+			}
+			if runs >= maxCrashed && f.now > thirdCrash+spreadTime {
+				lateRuns += ran
+			}
+			runs += ran
+		}
+	}
+	if lateRuns > maxLateRuns {
+		t.Errorf("%d runs, %d of them later than %v after the third crash; %d allowed", runs, lateRuns, spreadTime, maxLateRuns)
+	}
+}
+
+// TestPopularRequestIsServedBesideCrashers guards against failing a harmless request that
+// runs everywhere and all the time, because two upstreams crash while they run it.
+func TestPopularRequestIsServedBesideCrashers(t *testing.T) {
+	const popular = 5
+	f := newCrashFleet(t)
+	elsewhere := f.run(f.nodes[2], popular)
+	for _, n := range f.nodes[:2] {
+		f.crash(n, crasherFingerprint, popular)
+	}
+	f.advance(HeartbeatInterval)
+	f.nodes[2].WorkDone(f.now, elsewhere, time.Millisecond, RunSucceeded)
+	f.advance(spreadTime)
+	if got := f.blockedAt(popular); len(got) != 0 {
+		t.Errorf("a request that completed after the crashes is blocked at %v, want at no node", got)
+	}
+	if got := f.blockedAt(crasherFingerprint); len(got) != len(f.nodes) {
+		t.Errorf("the crashing request is blocked at %v, want at all nodes", got)
+	}
+}
+
+// TestHarmlessRequestIsFreedAgain guards against failing a harmless request for as long as
+// it is sent, because it ran at two upstreams that crashed and nowhere since.
+func TestHarmlessRequestIsFreedAgain(t *testing.T) {
+	const harmless = 5
+	f := newCrashFleet(t)
+	for _, n := range f.nodes[:2] {
+		f.crash(n, crasherFingerprint, harmless)
+	}
+	served := false
+	for end := f.now + time.Minute; f.now < end && !served; f.advance(HeartbeatInterval) {
+		step, _ := f.send(f.nodes[3], harmless, false)
+		served = step.Kind == StepDeliver
+	}
+	if !served {
+		t.Error("not served within a minute of the crashes")
+	}
+	f.advance(spreadTime)
+	if got := f.blockedAt(harmless); len(got) != 0 {
+		t.Errorf("blocked at %v after it completed, want at no node", got)
+	}
+}
--- a/harness/cmd/harness/faults.go
+++ b/harness/cmd/harness/faults.go
@@ -30,6 +30,7 @@
 	flags.IntVar(&o.Nodes, "nodes", defaultFaultNodes, "number of node processes")
 	flags.IntVar(&o.Callers, "callers", defaultFaultCallers, "number of callers")
 	flags.StringVar(&o.Binary, "binary", "", "path of the node's program")
+	scenario := flags.String("scenario", "", fmt.Sprintf("fixed combination of faults instead of the schedule of the seed: one of %v", faults.Scenarios()))
 	broken := flags.Bool("broken", false, "build in one defect after the other and verify that a check detects each")
 	regressions := flags.String("regressions", "", "file of seeds that failed before, run first")
 	dir := flags.String("dir", filepath.Join(os.TempDir(), "shallotspool-faults"), "directory for the settings and logs of failed seeds")
@@ -40,11 +41,14 @@
 			if *from == 0 {
 				*from = uint64(time.Now().UnixNano())
 			}
+			o.Scenario = faults.Scenario(*scenario)
 			if *broken {
 				return runDefects(o, *dir)
 			}
-			if err := runRegressions(o, *regressions, *dir); err != nil {
-				return err
+			if o.Scenario == "" {
+				if err := runRegressions(o, *regressions, *dir); err != nil {
+					return err
+				}
 			}
 			return runSeeds(o, *dir, *from, *seeds)
 		},
@@ -65,6 +69,7 @@
 		}
 		total.Requests += report.Requests
 		total.Served += report.Served
+		total.RetryShare = max(total.RetryShare, report.RetryShare)
 		for kind, count := range report.Faults {
 			total.Faults[kind] += count
 		}
@@ -84,7 +89,7 @@
 		counts = append(counts, fmt.Sprintf("%s=%d", kind, count))
 	}
 	sort.Strings(counts)
-	fmt.Printf("seeds=%d failed=%d nodes=%d requests=%d served=%d faults: %s\n", seeds, failed, o.Nodes, total.Requests, total.Served, strings.Join(counts, " "))
+	fmt.Printf("seeds=%d failed=%d nodes=%d requests=%d served=%d retry_share=%.2f faults: %s\n", seeds, failed, o.Nodes, total.Requests, total.Served, total.RetryShare, strings.Join(counts, " "))
 	if failed > 0 {
 		return fmt.Errorf("%d of %d seeds failed; settings and logs are in %s", failed, seeds, dir)
 	}
--- a/harness/faults/checks.go
+++ b/harness/faults/checks.go
@@ -48,7 +48,7 @@
 	{"retry_after", findMissingRetryAfter}, {"lost", findLostResponses}, {"drain", findRequestsToDrained},
 	{"config_back", findTableRollbacks}, {"config_late", findLateTables}, {"budget", findExcessRetries},
 	{"deadline", findWrongDeadlines}, {"cancel", findMissedCancellations}, {"recovery", findFailedRecovery},
-	{"crasher", findCrashersNotStopped},
+	{"crasher", findCrashersNotStopped}, {"popular", findPopularNotServed},
 }
 
 // anyInstance stands for all instances in place of the index of one.
@@ -217,30 +217,12 @@
 }
 
 // findExcessRetries finds, for each service, the first window with more retries than
-// allowed. A call of an upstream counts as a retry if its parent was retried. The
-// allowance follows the busiest of three windows, which end at the retry and half a
-// window and one window before it.
+// allowed.
 func findExcessRetries(h *history) (violations []string) {
 	for _, service := range []string{frontService, leafService} {
-		var retries, requests []time.Duration
-		arrivalCounts := map[string]int{}
-		for _, a := range h.arrivals {
-			parent, _, fromUpstream := strings.Cut(a.id, ".") // see callLeaf
-			if a.service == service && (arrivalCounts[a.id] > 0 || fromUpstream && arrivalCounts[parent] > 1) {
-				retries = append(retries, a.arrivedAt)
-			}
-			arrivalCounts[a.id]++
-		}
-		for _, r := range h.requests {
-			// Callers use only the front service, upstreams only the leaf service.
-			if r.fromUpstream == (service == leafService) {
-				requests = append(requests, r.sentAt)
-			}
-		}
-		for _, at := range retries {
-			allowed := retrySlack + retryRatio*float64(max(countInWindow(requests, at-retryWindow), countInWindow(requests, at-2*retryWindow), countInWindow(requests, at-3*retryWindow/2)))
-			if got := countInWindow(retries, at-retryWindow); float64(got) > allowed {
-				violations = append(violations, fmt.Sprintf("%s received %d retries in the window before %v, %.0f allowed", service, got, at, allowed))
+		for _, w := range h.retryWindows(service) {
+			if float64(w.retries) > w.allowed {
+				violations = append(violations, fmt.Sprintf("%s received %d retries in the window before %v, %.0f allowed", service, w.retries, w.end, w.allowed))
 				break
 			}
 		}
@@ -248,6 +230,41 @@
 	return violations
 }
 
+// retryCount is the number of retries that a service received in the retry window that ends
+// at a time, and the number allowed.
+type retryCount struct {
+	end     time.Duration
+	retries int
+	allowed float64
+}
+
+// retryWindows returns the retries of a service in the windows that end with one. A call of
+// an upstream counts as a retry if its parent was retried. The allowance follows the
+// busiest of three windows, which end at the retry and half a window and one window before
+// it.
+func (h *history) retryWindows(service string) (out []retryCount) {
+	var retries, requests []time.Duration
+	arrivalCounts := map[string]int{}
+	for _, a := range h.arrivals {
+		parent, _, fromUpstream := strings.Cut(a.id, ".") // see callLeaf
+		if a.service == service && (arrivalCounts[a.id] > 0 || fromUpstream && arrivalCounts[parent] > 1) {
+			retries = append(retries, a.arrivedAt)
+		}
+		arrivalCounts[a.id]++
+	}
+	for _, r := range h.requests {
+		// Callers use only the front service, upstreams only the leaf service.
+		if r.fromUpstream == (service == leafService) {
+			requests = append(requests, r.sentAt)
+		}
+	}
+	for _, at := range retries {
+		allowed := retrySlack + retryRatio*float64(max(countInWindow(requests, at-retryWindow), countInWindow(requests, at-2*retryWindow), countInWindow(requests, at-3*retryWindow/2)))
+		out = append(out, retryCount{at, countInWindow(retries, at-retryWindow), allowed})
+	}
+	return out
+}
+
 // countInWindow counts the times in the retry window that starts after from.
 func countInWindow(times []time.Duration, from time.Duration) (count int) {
 	for _, at := range times {
--- a/harness/faults/crasher.go
+++ b/harness/faults/crasher.go
@@ -51,6 +51,74 @@
 	return sends.Wait
 }
 
+// popularID begins the IDs of a harmless request that many callers send.
+const popularID = "popular"
+
+// sendCrasherBesidePopular sends the crasher while popularCallers send one harmless request.
+func sendCrasherBesidePopular(r *runner, _ *instance) (wait func()) {
+	var sends conc.WaitGroup
+	for i := range popularCallers {
+		sends.Go(func() {
+			random := rand.New(rand.NewPCG(r.options.Seed, uint64(1000+i)))
+			for n, end := 0, time.Now().Add(crasherPeriod); time.Now().Before(end); n++ {
+				if node := r.randomReadyInstance(random); node != nil {
+					r.sendPopular(node, fmt.Sprintf("%s-%d-%d", popularID, i, n))
+				}
+				time.Sleep(meanCallerPause)
+			}
+		})
+	}
+	crasher := r.sendCrasher()
+	return func() {
+		crasher()
+		sends.Wait()
+	}
+}
+
+func (r *runner) sendPopular(n *instance, id string) {
+	sent := &request{id: id, node: n.index, idempotent: true, fromUpstream: true, timeout: callTimeout}
+	r.history.recordRequest(sent)
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.SetRequestURI("http://" + n.address(n.ports.callers) + "/leaf/" + popularID)
+	req.UseHostHeader = true
+	req.Header.SetHost(virtualHost)
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	err := fasthttp.DoTimeout(req, resp, callTimeout+responseGrace)
+	r.history.update(func() {
+		sent.endedAt = r.history.now()
+		if err == nil {
+			sent.status = resp.StatusCode()
+			sent.gotBody, sent.wantBody = string(resp.Body()), responseBody(leafService, id)
+			sent.stamped = len(resp.Header.Peek(platform.HeaderResponseStamp)) > 0
+			sent.hasRetryAfter = len(resp.Header.Peek(platform.HeaderRetryAfter)) > 0
+		}
+	})
+	if err == nil {
+		fasthttp.ReleaseRequest(req)
+		fasthttp.ReleaseResponse(resp)
+	}
+}
+
+// findPopularNotServed reports if too few of the harmless requests beside the crasher were
+// served. Those whose node had a fault of its own shortly before do not count.
+func findPopularNotServed(h *history) (violations []string) {
+	sent, served := 0, 0
+	for _, r := range h.requests {
+		if !strings.HasPrefix(r.id, popularID) || h.nodeHadFault(r.sentAt-faultEffectTime, r.endedAt, r.node) {
+			continue
+		}
+		sent++
+		if r.status == fasthttp.StatusOK {
+			served++
+		}
+	}
+	if float64(served) < minServedRatio*float64(sent) {
+		violations = append(violations, fmt.Sprintf("%d of %d harmless requests beside the crasher served, want a fraction of %v", served, sent, minServedRatio))
+	}
+	return violations
+}
+
 func (r *runner) sendCrasherTo(n *instance, i int) {
 	id := fmt.Sprintf("%s-%d", crasherID, i)
 	r.history.recordRequest(&request{id: id, node: n.index, idempotent: true, fromUpstream: true, timeout: callTimeout})
--- a/harness/faults/defects.go
+++ b/harness/faults/defects.go
@@ -58,6 +58,9 @@
 // with a defect, long faults of the kinds that expose it.
 func planFaults(o Options) []scheduledFault {
 	i := slices.IndexFunc(defectCases, func(c defectCase) bool { return c.defect == o.Defect })
+	if i < 0 && o.Scenario != "" {
+		return planScenario(o)
+	}
 	if i < 0 {
 		return drawSchedule(o.Seed, o.Nodes)
 	}
--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -75,6 +75,7 @@
 	n.upstream = &upstream{
 		history: h, service: service, id: fmt.Sprintf("u%d", i), address: n.address(p.upstream),
 		nodeAddress: n.address(p.callers), workTime: upstreamWorkTime, defect: o.Defect,
+		outlivedByListener: o.Scenario == ListenerScenario,
 	}
 	ratio := retryRatio
 	if o.Defect == unlimitedRetries {
--- a/harness/faults/proxy.go
+++ b/harness/faults/proxy.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// proxy forwards TCP connections and can delay, drop or reset their traffic. refuse and
-// listen must not be called concurrently.
+// proxy forwards TCP connections and can delay, drop or reset their traffic. refuse,
+// refusing and listen must not be called concurrently.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -21,6 +21,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// closed is set while new connections are refused.
+	closed bool
 }
 
 // newProxy starts a proxy that listens on address and forwards to target.
@@ -36,14 +38,20 @@
 
 // refuse makes the proxy refuse new connections, as the target does when its process has
 // ended. listen ends that.
-func (p *proxy) refuse() { _ = p.listener.Close() }
+func (p *proxy) refuse() {
+	p.closed = true
+	_ = p.listener.Close()
+}
+
+// refusing reports whether the proxy refuses new connections.
+func (p *proxy) refusing() bool { return p.closed }
 
 func (p *proxy) listen() error {
 	ln, err := net.Listen("tcp", p.listener.Addr().String())
 	if err != nil {
 		return err
 	}
-	p.listener = ln
+	p.listener, p.closed = ln, false
 	go p.accept(ln)
 	return nil
 }
--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -34,6 +34,8 @@
 	Binary, Dir string
 	// Defect is the defect that is built into the run, empty for none.
 	Defect Defect
+	// Scenario selects a fixed combination of faults instead of the schedule of the seed.
+	Scenario Scenario
 }
 
 // Report is the result of a run.
@@ -42,6 +44,9 @@
 	Requests, Served int
 	// Faults counts the injected faults by kind.
 	Faults map[string]int
+	// RetryShare is the largest share of the allowed retries that a service received in a
+	// window.
+	RetryShare float64
 	// Violations lists the violated guarantees as "check: description".
 	Violations []string
 }
@@ -74,6 +79,12 @@
 // Run executes the schedule of one seed or, with a defect, the faults that expose it. It
 // returns an error if the run could not be set up; violations are in the report.
 func Run(o Options) (Report, error) {
+	if err := validateScenario(o.Scenario); err != nil {
+		return Report{}, err
+	}
+	if o.Scenario == RetryScenario {
+		o.Callers = scenarioCallers
+	}
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return Report{}, err
 	}
@@ -318,6 +329,11 @@
 			report.Served++
 		}
 	}
+	for _, service := range []string{frontService, leafService} {
+		for _, w := range r.history.retryWindows(service) {
+			report.RetryShare = max(report.RetryShare, float64(w.retries)/w.allowed)
+		}
+	}
 	for _, c := range checks {
 		found := c.findViolations(r.history)
 		for _, description := range found[:min(len(found), maxReportedPerCheck)] {
--- a/harness/faults/upstream.go
+++ b/harness/faults/upstream.go
@@ -27,8 +27,13 @@
 	// slow multiplies the processing time by slowFactor; shedding rejects every
 	// second request.
 	slow, shedding atomic.Bool
-	requestCount   atomic.Int64 // selects every second request
-	callCount      atomic.Int64
+	// resetting closes the connection of most runs without an answer; see resetRatio.
+	resetting atomic.Bool
+	// outlivedByListener makes crash leave the proxy listening, as a listener does that
+	// another process holds.
+	outlivedByListener bool
+	requestCount       atomic.Int64 // selects every second request
+	callCount          atomic.Int64
 
 	mu     sync.Mutex
 	server *fasthttp.Server
@@ -50,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	if u.server != nil {
+	if u.server != nil && u.proxy.refusing() {
 		if err := u.proxy.listen(); err != nil {
 			_ = ln.Close()
 			return err
@@ -86,7 +91,7 @@
 	u.mu.Lock()
 	server, serving := u.server, u.serving
 	u.serving = false
-	if serving {
+	if serving && !u.outlivedByListener {
 		u.proxy.refuse()
 	}
 	for c := range u.conns {
@@ -101,6 +106,10 @@
 const (
 	// slowFactor multiplies the processing time of a slow upstream.
 	slowFactor = 10
+	// resetRatio is the fraction of runs whose connection a resetting upstream closes, in
+	// each resetPeriod runs.
+	resetRatio  = 0.7
+	resetPeriod = 10
 	// callTimeout is the timeout of an upstream's own calls. The upstream waits one
 	// second longer for the response.
 	callTimeout = time.Second
@@ -142,6 +151,10 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	if u.resetting.Load() && float64(u.requestCount.Add(1)%resetPeriod) < resetRatio*resetPeriod {
+		resetConnection(ctx.Conn())
+		return
+	}
 	work := u.workTime
 	if u.slow.Load() {
 		work *= slowFactor
