Give a started node no slack of the retry budget for one window

What callers saw: repeats beyond the bound (BUDGET) in real processes of both deployments. Cause: a node kept what it spent in memory only, and each start brought a fresh part of the slack, of the repeats without known calls, and of the calls that repeats induce. Nodes killed and started in series spent these anew with each life.

A node now uses its part of the slack only once it has been up for a whole window, so that two processes of one node never spend it within one window; its part for induced calls grows with its uptime. The part that follows from the requests it sends is as before: a life can spend only what its own requests allow.

Nodes of the tests have been up for a window (StartedAt), as the bounds they check are those of a running fleet; no bound changed.

--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -46,10 +46,14 @@
 
 // retryBudget keeps a node within its part of the retry bounds without coordination
 // between nodes. The part that depends on the number of requests follows from the
-// requests this node sends; the slack is divided equally among all nodes.
+// requests this node sends; the slack is divided equally among all nodes. A node uses its
+// part of the slack only once it has been up for a whole window, because the process that
+// ran there before may have spent it just before it ended.
 type retryBudget struct {
-	bounds   RetryBounds
-	services map[string]*serviceBudget
+	bounds RetryBounds
+	// startedAt is the time at which the node started.
+	startedAt time.Duration
+	services  map[string]*serviceBudget
 	// allRequests counts the requests to any service. blindRetries counts the retries
 	// of requests for which the calls they cause were not known.
 	allRequests, blindRetries windowCounter
@@ -143,8 +147,21 @@
 	return sum
 }
 
-func newRetryBudget(b RetryBounds) *retryBudget {
-	return &retryBudget{bounds: b, services: map[string]*serviceBudget{}}
+func newRetryBudget(b RetryBounds, startedAt time.Duration) *retryBudget {
+	return &retryBudget{bounds: b, startedAt: startedAt, services: map[string]*serviceBudget{}}
+}
+
+// slack returns the part of the slack that is available at this time: none or all of it.
+func (b *retryBudget) slack(now time.Duration) float64 {
+	if now-b.startedAt < b.bounds.Window {
+		return 0
+	}
+	return b.bounds.Slack
+}
+
+// uptimeShare returns the time since the start as a share of the window, at most 1.
+func (b *retryBudget) uptimeShare(now time.Duration) float64 {
+	return min((now-b.startedAt).Seconds()/b.bounds.Window.Seconds(), 1)
 }
 
 func (b *retryBudget) service(name string) *serviceBudget {
@@ -206,18 +223,19 @@
 func (n *Node) directAllowance(now time.Duration, service string) float64 {
 	bounds := n.budget.bounds
 	sent := n.budget.service(service).requests.sum(now, bounds.Window)
-	return directShare * (bounds.Ratio*sent + bounds.Slack/n.nodeCount())
+	return directShare * (bounds.Ratio*sent + n.budget.slack(now)/n.nodeCount())
 }
 
 // inducedAllowance returns the number of calls to a service that this node's retries
 // at other services may cause within a window.
-func (n *Node) inducedAllowance(service string) float64 {
+func (n *Node) inducedAllowance(now time.Duration, service string) float64 {
 	bounds := n.budget.bounds
 	rate := 0.0
 	if view := n.admission.services[service]; view != nil {
 		rate = view.runRate
 	}
-	return inducedShare * (bounds.Ratio*rate*bounds.Window.Seconds() + bounds.Slack) / n.nodeCount()
+	requests := rate * bounds.Window.Seconds() * n.budget.uptimeShare(now)
+	return inducedShare * (bounds.Ratio*requests + n.budget.slack(now)) / n.nodeCount()
 }
 
 func (n *Node) nodeCount() float64 { return float64(max(len(n.instances), 1)) }
@@ -242,7 +260,7 @@
 		if n.retriesExhausted(c, service, cost) {
 			return n.budget.refuse(RetriesArrived)
 		}
-		if n.budget.service(service).induced.sum(now, window)+cost > n.inducedAllowance(service) {
+		if n.budget.service(service).induced.sum(now, window)+cost > n.inducedAllowance(now, service) {
 			return n.budget.refuse(RetriesInduced)
 		}
 	}
--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -12,14 +12,15 @@
 
 var testRetryBounds = RetryBounds{Window: 10 * time.Second, Ratio: 0.2, Slack: 49}
 
-// newFleet returns four nodes that know each other: 10.0.0.1 and 10.0.0.2 beside
-// upstreams of service "a", 10.0.0.3 and 10.0.0.4 beside upstreams of service "b". Each
-// upstream has 10 slots, so its concurrency limit is 9.
+// newFleet returns four nodes that know each other and have been up for some time:
+// 10.0.0.1 and 10.0.0.2 beside upstreams of service "a", 10.0.0.3 and 10.0.0.4 beside
+// upstreams of service "b". Each upstream has 10 slots, so its concurrency limit is 9.
 func newFleet(t interface{ Fatalf(string, ...any) }, routes ...*route.Route) []*Node {
 	var nodes []*Node
 	for _, c := range testRegistrations() {
 		nodes = append(nodes, startNode(t, Config{
 			Instance: c.Upstream.Instance, Incarnation: 1, Service: c.Upstream.Service, DataCentre: "x", Seed: 1, RetryBounds: testRetryBounds,
+			StartedAt: -testRetryBounds.Window,
 		}, routes...))
 	}
 	return nodes
@@ -230,7 +231,9 @@
 				i := len(requests) % len(nodes)
 				if now-births[i] > lifetime {
 					births[i] = now
-					nodes[i] = startNode(t, nodes[i].cfg, testRoute("a", true))
+					cfg := nodes[i].cfg
+					cfg.StartedAt = 0
+					nodes[i] = startNode(t, cfg, testRoute("a", true))
 					if !unknownCalls {
 						learnNoDownstreamCalls(nodes[i])
 					}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -20,6 +20,8 @@
 	DataCentre  string
 	Seed        uint64
 	RetryBounds RetryBounds
+	// StartedAt is the time at which the node started, on the clock that is passed in.
+	StartedAt time.Duration
 }
 
 // Node is the decision state of one node.
@@ -81,7 +83,7 @@
 	n := &Node{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		splitter: route.NewSplitter(), registry: registry.New(), limiter: concurrency.New(),
-		budget: newRetryBudget(cfg.RetryBounds), runTimes: runTimes{},
+		budget: newRetryBudget(cfg.RetryBounds, cfg.StartedAt), runTimes: runTimes{},
 		peers: map[string]*peer{}, instances: map[string]string{}, outlierGroups: map[string]*outlierGroup{},
 		crashRecords: poison.New(poison.Config{Retention: crashMemory, MaxRecords: maxCrashRecords}),
 		admission:    newAdmission(), refusals: refusals{expires: map[uint64]time.Duration{}},
--- a/harness/faults/checks_test.go
+++ b/harness/faults/checks_test.go
@@ -45,6 +45,9 @@
 				h.arrivals = append(h.arrivals, arrival{arrivedAt: time.Duration(i) * faultEffectTime, id: id, service: leafService, upstream: "u1"})
 			}
 		},
+		"popular": func(h *history) {
+			h.requests[popularID] = &request{id: popularID, node: 1, fromUpstream: true, status: 502}
+		},
 		"drain": func(h *history) { h.drains = []drainPeriod{{upstream: "u0", from: 10 * time.Second}} },
 		"config_back": func(h *history) {
 			late := *h.requests["c1"]
