Let the nodes of the sidecar's tests be up for a window of the retry budget

The tests are about where a request is sent again and what is logged of it, not about how soon after a start; their window is now 0.1 s. TestRestartedNodesStayWithinRetryBounds checks the start. No check changed; go test ./node/sidecar: passed.

--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -261,7 +261,8 @@
 		Store:  sidecar.StoreSettings{Address: "127.0.0.1:1"},
 		Limits: sidecar.LimitSettings{MemoryMB: 256, Descriptors: 1024},
 		Bounds: sidecar.BoundSettings{
-			GraceSeconds: 6, RetryRatio: 0.2, RetrySlack: 49, RetryWindowSeconds: 10,
+			// The window is short, so that the nodes have been up for longer when tests begin.
+			GraceSeconds: 6, RetryRatio: 0.2, RetrySlack: 49, RetryWindowSeconds: 0.1,
 		},
 	}
 	logOutput := f.logOutput
