Weigh crashes against completions, and keep a request blocked while it comes

Cause, one for both: the record of crashes decided by the time since the last one alone. It ended after a minute, and a request that still came crashed as many upstreams as the first time; and no completion cleared a request that was already blocked, while nothing that is blocked can complete.

core/suspect replaces the table of poison requests here. A crash counts until the request completes later at any upstream, whenever the news arrives; each node remembers its last completions. A blocked request stays blocked until it has not been sent for ten minutes, but for two trials, 20 s and a minute after the last crash, at one upstream that all nodes choose alike and the node beside it lets run once. Where a request entered, the node learns of the crash from the answer, not from the next heartbeat.

--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -28,10 +28,13 @@
 		c.reachedUpstreams++
 	}
 	c.mayHaveRun = c.mayHaveRun || o.Kind != OutcomeNotRun
+	if o.Reason == ReasonCrashed {
+		n.recordCrashAt(now, c.LastTried(), c)
+	}
 	switch {
 	case o.Kind == OutcomeAnswered && !n.isServerError(o):
 		return Step{Kind: StepDeliver}
-	case o.Reason == ReasonCrasher, n.crashesUpstreams(now, c.fingerprint):
+	case o.Reason == ReasonCrasher, n.blocked(now, c.fingerprint):
 		return Step{Kind: StepFail, Reason: ReasonCrasher}
 	case o.Kind == OutcomeNotRun:
 		return n.afterNotRun(now, c, o)
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -54,6 +54,9 @@
 	busyNodes   int
 	attempt     *attempt
 	fingerprint uint64
+	// onTrial is set if the call is a trial of a request that crashed upstreams. It is sent
+	// only once.
+	onTrial bool
 	// parent is the request at the local upstream for which the call is made, nil if
 	// there is none.
 	parent *parentRequest
@@ -142,11 +145,13 @@
 	ReasonLost
 	// ReasonCrasher means that the request has crashed the upstreams that ran it.
 	ReasonCrasher
+	// ReasonCrashed means that the upstream crashed while it ran the request.
+	ReasonCrashed
 )
 
 var reasonNames = [...]string{
 	"none", "no_table", "no_route", "deadline", "no_upstream", "entry", "busy", "shed", "moved",
-	"leaving", "unreachable", "lost", "crasher",
+	"leaving", "unreachable", "lost", "crasher", "crashed",
 }
 
 // String returns the name of the reason in logs and metrics.
--- a/core/mesh/doc.go
+++ b/core/mesh/doc.go
@@ -42,8 +42,9 @@
 //     near the bound, every node stops retrying there.
 //
 // The other uses need no plan. An attempt goes to the cheapest of a few upstreams, by run
-// time, load, fault share and data centre. A request recorded in two crashes is failed
-// at each node until its records expire. A node that missed more than four heartbeats
+// time, load, fault share and data centre. A request that ran at two
+// crashes and has not completed since is failed at each node, but for a few trials; see
+// package suspect. A node that missed more than four heartbeats
 // (maxMissedHeartbeats) is silent. A silent or ejected node gets requests only if no other
 // is usable, or as a probe if ejected. Its slots do not count, and a service whose nodes
 // are all silent has none.
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -130,7 +130,7 @@
 	}
 	p.heartbeat, p.heartbeatAt = h, now
 	p.recordLoad(now, h.Load)
-	n.recordCrashes(now, instance, h.Crashes)
+	n.recordCrashes(now, instance, h.Incarnation, h.Crashes)
 }
 
 // Heartbeat returns the full heartbeat of this node, with all its crash records. It is
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/concurrency"
-	"github.com/shallotspool/shallotspool/core/poison"
 	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/core/route"
+	"github.com/shallotspool/shallotspool/core/suspect"
 )
 
 // Config holds the identity and settings of a node.
@@ -39,7 +39,7 @@
 	// instances maps each instance with a registered upstream to its data centre.
 	instances     map[string]string
 	outlierGroups map[string]*outlierGroup
-	crashRecords  *poison.Table
+	suspects      *suspect.Table
 	admission     admission
 	refusals      refusals
 	usage         usage
@@ -85,8 +85,8 @@
 		splitter: route.NewSplitter(), registry: registry.New(), limiter: concurrency.New(),
 		budget: newRetryBudget(cfg.RetryBounds, cfg.StartedAt), runTimes: runTimes{},
 		peers: map[string]*peer{}, instances: map[string]string{}, outlierGroups: map[string]*outlierGroup{},
-		crashRecords: poison.New(poison.Config{Retention: crashMemory, MaxRecords: maxCrashRecords}),
-		admission:    newAdmission(), refusals: refusals{expires: map[uint64]time.Duration{}},
+		suspects:  newSuspects(cfg.Instance, cfg.Incarnation),
+		admission: newAdmission(), refusals: refusals{expires: map[uint64]time.Duration{}},
 		usage: usage{roots: map[uint32]*rootUsage{}}, openWork: map[string]*parentRequest{},
 	}
 	n.limiter.SetLimit(defaultLimit)
--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -112,13 +112,8 @@
 
 // CrashReport returns the state of the crash records.
 func (n *Node) CrashReport(now time.Duration) CrashReport {
-	r := CrashReport{Reported: len(n.crashStats(now))}
-	for _, record := range n.crashRecords.Records() {
-		r.Held++
-		if n.crashesUpstreams(now, record.Fingerprint) {
-			r.Blocked++
-		}
-	}
+	r := CrashReport{Reported: len(n.suspects.Reports(now))}
+	r.Held, r.Blocked = n.suspects.Len()
 	return r
 }
 
--- a/core/mesh/start.go
+++ b/core/mesh/start.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "time"
+import (
+	"time"
+
+	"github.com/shallotspool/shallotspool/core/suspect"
+)
 
 const (
 	// defaultTimeout applies to a request without a stated timeout. The timeout of its
@@ -34,8 +38,12 @@
 	}
 	c.Rank = Rank{Priority: matched.Priority, Root: c.RouteID}
 	n.inheritRank(now, c, request.Parent)
-	if n.crashesUpstreams(now, request.Fingerprint) {
+	switch n.suspects.Status(now, request.Fingerprint) {
+	case suspect.Blocked:
+		n.suspects.RecordArrival(now, request.Fingerprint)
 		return c, c.recordIfFinal(Step{Kind: StepFail, Reason: ReasonCrasher}, false)
+	case suspect.OnTrial:
+		c.onTrial = true
 	}
 	c.Service = n.splitter.ChooseService(matched)
 	c.CallerRetry = !c.FromUpstream && n.refusals.take(now, request)
@@ -49,7 +57,11 @@
 // sendNext chooses the next target of c and opens an attempt, or refuses c if there is
 // no target.
 func (n *Node) sendNext(now time.Duration, c *Call) Step {
-	u, p := n.pickUpstream(now, c)
+	pick := n.pickUpstream
+	if c.onTrial {
+		pick = n.pickTrialUpstream
+	}
+	u, p := pick(now, c)
 	if u == nil {
 		return n.refuse(c, ReasonNoUpstream)
 	}
--- a/core/mesh/work.go
+++ b/core/mesh/work.go
@@ -46,6 +46,7 @@
 func (n *Node) WorkStarted(now time.Duration, w Work) {
 	n.usage.start(now, w.Rank.Root)
 	n.arrivals.record(now, n.budget.bounds.Window, w.Rank.IsRetry)
+	n.suspects.StartTrial(now, w.Fingerprint)
 }
 
 // minRunShare is the part of the mean run time that must be left before the deadline
@@ -72,8 +73,9 @@
 func (n *Node) WorkDone(now time.Duration, w Work, took time.Duration, result RunResult) {
 	n.limiter.Done(w.ID)
 	if result == RunSucceeded {
-		n.crashRecords.ClearSuspect(now, w.Fingerprint)
+		n.RecordCompletion(now, w)
 	}
+	n.suspects.EndTrial(w.Fingerprint, result == RunFailed || result == RunTimedOut)
 	n.recordRun(w, took, result)
 	delete(n.openWork, w.RequestID)
 	n.usage.end(now, w.Rank.Root)
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -6,7 +6,6 @@
 package poison
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -58,19 +57,11 @@
 	records map[uint64]*Record
 	// order holds the fingerprints, oldest first.
 	order []uint64
-	// successes holds the last success of each former suspect.
-	successes map[uint64]success
-}
-
-// success is the last success of a former suspect. own is true if it was seen here.
-type success struct {
-	at  time.Duration
-	own bool
 }
 
 // New returns an empty Table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, records: map[uint64]*Record{}, successes: map[uint64]success{}}
+	return &Table{cfg: cfg, records: map[uint64]*Record{}}
 }
 
 // Status returns whether the request with that fingerprint may run.
@@ -85,14 +76,6 @@
 	return Suspect
 }
 
-// Crashes returns the number of crashes recorded for a request.
-func (t *Table) Crashes(fingerprint uint64) int {
-	if r := t.records[fingerprint]; r != nil {
-		return r.TotalCrashes()
-	}
-	return 0
-}
-
 // RecordCrash records a crash of target's upstream while fingerprint was in flight.
 // It returns the number of such crashes at target, at most MaxCrashes, or 1 if the
 // table is full.
@@ -114,9 +97,6 @@
 		t.RecordSuccess(fingerprint)
 		return
 	}
-	if last, known := t.successes[fingerprint]; known && crashes < MaxCrashes && t.eventTime(now, remaining) <= last.at {
-		return
-	}
 	r := t.getOrCreate(now, fingerprint)
 	if r == nil {
 		return
@@ -165,47 +145,6 @@
 	return true
 }
 
-// ClearSuspect removes the record of a suspect that completed just now. Crashes before
-// that no longer count, also if they are reported later.
-func (t *Table) ClearSuspect(now time.Duration, fingerprint uint64) {
-	if t.records[fingerprint] != nil || t.successes[fingerprint].at > 0 {
-		t.applySuccess(fingerprint, success{at: now, own: true})
-	}
-}
-
-// MergeSuccess merges the report of a target that a suspect completed there; remaining is
-// how long that is still to be remembered.
-func (t *Table) MergeSuccess(now time.Duration, fingerprint uint64, remaining time.Duration) {
-	t.applySuccess(fingerprint, success{at: t.eventTime(now, remaining)})
-}
-
-// applySuccess removes the record of a suspect that did not crash after s, and remembers s.
-func (t *Table) applySuccess(fingerprint uint64, s success) {
-	if r := t.records[fingerprint]; r != nil && r.ExpiresAt-t.cfg.Retention <= s.at {
-		t.RecordSuccess(fingerprint)
-	}
-	last, known := t.successes[fingerprint]
-	if s.at > last.at && (known || len(t.successes) < t.cfg.MaxRecords) {
-		t.successes[fingerprint] = s
-	}
-}
-
-// eventTime returns the time of an event that is still to be remembered for the given time.
-func (t *Table) eventTime(now, remaining time.Duration) time.Duration {
-	return now + remaining - t.cfg.Retention
-}
-
-// ForEachOwnSuccess calls fn for each former suspect that completed here last, with the
-// time for which that is still to be remembered, in the order of the fingerprints.
-func (t *Table) ForEachOwnSuccess(now time.Duration, fn func(fingerprint uint64, remaining time.Duration)) {
-	for _, fingerprint := range slices.Sorted(maps.Keys(t.successes)) {
-		s := t.successes[fingerprint]
-		if remaining := s.at + t.cfg.Retention - now; s.own && remaining > 0 {
-			fn(fingerprint, remaining)
-		}
-	}
-}
-
 func (t *Table) remove(fingerprint uint64) {
 	delete(t.records, fingerprint)
 	if i := slices.Index(t.order, fingerprint); i >= 0 {
@@ -222,11 +161,6 @@
 		delete(t.records, f)
 		return true
 	})
-	for f, s := range t.successes {
-		if s.at+t.cfg.Retention <= now {
-			delete(t.successes, f)
-		}
-	}
 }
 
 // Records returns the records for display to operators, oldest first.
--- a/node/sidecar/heartbeat_test.go
+++ b/node/sidecar/heartbeat_test.go
@@ -17,7 +17,7 @@
 		Service: "a-service-with-a-long-name-of-forty-bytes", Load: mesh.Load{Running: math.MaxInt32, Queued: math.MaxInt32, Limit: math.MaxInt32},
 	}
 	for i := range 500 {
-		h.Crashes = append(h.Crashes, mesh.CrashStat{Fingerprint: math.MaxUint64 - uint64(i), Crashes: 2, RemainingMS: 60_000})
+		h.Crashes = append(h.Crashes, mesh.CrashStat{Fingerprint: math.MaxUint64 - uint64(i), Crashes: 2, AgeMS: math.MaxUint32, Trials: 9})
 	}
 	encoded, err := cbor.Marshal(h.For(mesh.DueHeartbeat{Partial: true, CrashPage: 3}))
 	if err != nil || len(encoded) > maxHeartbeatBytes {
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -87,8 +87,12 @@
 	s.mu.Lock()
 	now := s.now()
 	if crashed {
+		o.Reason = mesh.ReasonCrashed
 		s.node.RecordCrash(now, work)
 	}
+	if o.Kind == mesh.OutcomeAnswered {
+		s.node.RecordCompletion(now, work)
+	}
 	running := s.node.Load().Running
 	result := runResult(ctx, o)
 	// A connection attempt that the request's deadline may have cut short says nothing
