Count the runs that end with one crash as one crash

What callers saw: a harmless request that many send was failed everywhere beside a crashing one. Cause: each run of it that a crash ended counted as a crash, so that two runs at one upstream blocked it at once. Runs that started before the recorded crash belong to it.

--- a/core/mesh/crash.go
+++ b/core/mesh/crash.go
@@ -45,7 +45,7 @@
 
 // RecordCrash records that the local upstream crashed while it ran w.
 func (n *Node) RecordCrash(now time.Duration, w Work) {
-	n.changeSuspect(now, n.cfg.Instance, w.Fingerprint, func() { n.suspects.RecordCrash(now, w.Fingerprint) })
+	n.changeSuspect(now, n.cfg.Instance, w.Fingerprint, func() { n.suspects.RecordCrash(now, w.Started, w.Fingerprint) })
 }
 
 // RecordCompletion records that the local upstream answered w, with any status: it did not
--- a/core/mesh/work.go
+++ b/core/mesh/work.go
@@ -25,6 +25,8 @@
 	Route       uint32
 	Rank        Rank
 	Deadline    time.Duration
+	// Started is when the upstream began to run the work. It is set once that has happened.
+	Started time.Duration
 }
 
 // OfferWork decides whether w runs at the local upstream now, waits or is refused. If it
--- a/core/suspect/table.go
+++ b/core/suspect/table.go
@@ -80,13 +80,17 @@
 	return 0
 }
 
-// RecordCrash records that the local upstream crashed while it ran a request.
-func (t *Table) RecordCrash(now time.Duration, fingerprint uint64) {
+// RecordCrash records that the local upstream crashed during a run of a request. Several
+// runs that end with the same crash count as one: those that started before it.
+func (t *Table) RecordCrash(now, started time.Duration, fingerprint uint64) {
 	r := t.getOrCreate(now, fingerprint)
 	if r == nil {
 		return
 	}
 	r.trialOpen = false
+	if own, known := r.crashes[t.cfg.Instance]; known && started < own.at {
+		return
+	}
 	count := min(r.crashes[t.cfg.Instance].count+1, MaxCrashes)
 	r.crashes[t.cfg.Instance] = crashes{incarnation: t.cfg.Incarnation, count: count, at: now}
 }
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -71,6 +71,7 @@
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: reason}
 	}
 	started := s.now()
+	work.Started = started
 	o := s.exchange(ctx, s.upstreamPool, req, s.maxIdleFor(req), s.responseMatcher(req))
 	if o.Kind == mesh.OutcomeAnswered {
 		notice := s.readNotice(&req.response.Header)
