Recognise a crash while something still accepts connections

Cause: a lost answer counted as a crash only if a new connection was refused at that moment.

If the connection is accepted, the process has ended if no connection that was open before the run is open any more; a single closed connection beside others is no crash. Whether the upstream is down then follows from whether it keeps the new connection. A request that is sent within a second after such a crash, before any answer, does not count as the cause of another.

--- a/node/internal/pool/conn.go
+++ b/node/internal/pool/conn.go
@@ -25,11 +25,12 @@
 	NotReusable bool
 
 	bytesWritten atomic.Int64
+	openedAt     time.Time
 	idleSince    time.Time
 }
 
 func newConn(raw net.Conn) *Conn {
-	c := &Conn{Conn: raw}
+	c := &Conn{Conn: raw, openedAt: time.Now()}
 	c.Reader = bufio.NewReaderSize(raw, readBufferBytes)
 	c.Writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
--- a/node/internal/pool/pool.go
+++ b/node/internal/pool/pool.go
@@ -48,13 +48,15 @@
 	mu sync.Mutex
 	// open counts all connections: in use, idle and reserved.
 	open int
-	// idle holds the most recently used connection last.
-	idle   []*Conn
-	closed bool
+	// idle holds the most recently used connection last, established all connections that
+	// are in use or idle.
+	idle        []*Conn
+	established map[*Conn]struct{}
+	closed      bool
 }
 
 // New returns an empty Pool.
-func New(cfg Config) *Pool { return &Pool{cfg: cfg} }
+func New(cfg Config) *Pool { return &Pool{cfg: cfg, established: map[*Conn]struct{}{}} }
 
 // Address returns the target's IP:port.
 func (p *Pool) Address() string { return p.cfg.Address }
@@ -160,7 +162,11 @@
 	if p.cfg.OnConnect != nil {
 		p.cfg.OnConnect(time.Since(started))
 	}
-	return newConn(raw), nil
+	c := newConn(raw)
+	p.mu.Lock()
+	p.established[c] = struct{}{}
+	p.mu.Unlock()
+	return c, nil
 }
 
 func (p *Pool) dialer(timeout time.Duration) *net.Dialer {
@@ -202,9 +208,28 @@
 // Discard closes a connection that was taken from the pool.
 func (p *Pool) Discard(c *Conn) {
 	_ = c.Close()
-	p.unreserve()
+	p.mu.Lock()
+	delete(p.established, c)
+	p.open--
+	p.mu.Unlock()
+}
+
+// AnyOpenSince reports whether a connection that was opened before a time is still open, in
+// use or idle.
+func (p *Pool) AnyOpenSince(opened time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.established {
+		if c.openedAt.Before(opened) && sockets.Peek(c.Conn) != sockets.Closed {
+			return true
+		}
+	}
+	return false
 }
 
+// StillOpen reports whether the target has not closed a connection.
+func (c *Conn) StillOpen() bool { return sockets.Peek(c.Conn) != sockets.Closed }
+
 // Prune closes the connections that have been idle for longer than
 // Config.MaxIdleTime, or its default, at the time now.
 func (p *Pool) Prune(now time.Time) {
--- a/node/sidecar/requests_test.go
+++ b/node/sidecar/requests_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -298,3 +299,47 @@
 		return false
 	})
 }
+
+// TestCrashIsRecognisedWhileListenerLives guards against a request that goes on crashing an
+// upstream whose connections are still accepted, by a proxy or a listener that outlives the
+// process; and against taking a single closed connection for a crash.
+func TestCrashIsRecognisedWhileListenerLives(t *testing.T) {
+	for _, processEnds := range []bool{true, false} {
+		f := newFleet(t, "front/"+front, "deep/"+deep)
+		upstream := f.upstreams[deep]
+		conns := make(chan net.Conn, 2)
+		upstream.setResponse(func(ctx *fasthttp.RequestCtx) {
+			conns <- ctx.Conn()
+			for len(conns) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+		})
+		first, second := f.caller(front), f.caller(front)
+		first.send("POST", "/write/1", "r1")
+		second.send("POST", "/write/2", "r2")
+		if a, b := first.receive(), second.receive(); a.status != 200 || b.status != 200 {
+			t.Fatalf("got status %d and %d, want 200 twice, on two connections to the upstream", a.status, b.status)
+		}
+		upstream.setResponse(func(ctx *fasthttp.RequestCtx) {
+			for len(conns) > 0 && processEnds {
+				_ = (<-conns).Close()
+			}
+			_ = ctx.Conn().Close()
+		})
+		if got := first.request("POST", "/write/3", "r3"); got.status != 502 {
+			t.Fatalf("got %+v, want status 502", got)
+		}
+		want := `msg="answer lost"`
+		if processEnds {
+			want = `msg="upstream crashed"`
+		}
+		f.eventually(want, func() bool {
+			for line := range strings.Lines(f.logs.String()) {
+				if strings.Contains(line, want) && strings.Contains(line, "request=r3") {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -60,12 +60,16 @@
 	// instance is the IP address by which other nodes identify this one.
 	instance string
 
-	// mu guards node, waiters and lastWorkID. waiters holds, by work ID, the channels on
-	// which queued requests wait for a decision.
+	// mu guards node and the fields below. waiters holds, by work ID, the channels on which
+	// queued requests wait for a decision. answeredAt is when the upstream last answered, and
+	// silentCrashAt when it last crashed while its connections were still accepted.
 	mu         sync.Mutex
 	node       *mesh.Node
 	waiters    map[uint64]chan concurrency.Decision
 	lastWorkID uint64
+	answeredAt time.Duration
+
+	silentCrashAt time.Duration
 
 	store        store.Reader
 	upstreamPool *pool.Pool
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -58,10 +58,7 @@
 // runOnUpstream sends req to the local upstream once a slot is free, and reports the
 // result to s.node.
 func (s *Sidecar) runOnUpstream(ctx context.Context, req *upstreamRequest) mesh.Outcome {
-	s.mu.Lock()
-	down := s.node.UpstreamDown()
-	s.mu.Unlock()
-	if down {
+	if s.upstreamDown() {
 		s.logRefusal(req, mesh.ReasonUnreachable)
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonUnreachable}
 	}
@@ -84,7 +81,10 @@
 		}
 	}
 	lost := o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonLost && ctx.Err() == nil
-	crashed := lost && s.upstreamRefusesConnections()
+	var crashed, down bool
+	if lost {
+		crashed, down = s.explainLoss(started)
+	}
 	s.mu.Lock()
 	now := s.now()
 	if crashed {
@@ -92,6 +92,7 @@
 		s.node.RecordCrash(now, work)
 	}
 	if o.Kind == mesh.OutcomeAnswered {
+		s.answeredAt = now
 		s.node.RecordCompletion(now, work)
 	}
 	running := s.node.Load().Running
@@ -99,7 +100,7 @@
 	// A connection attempt that the request's deadline may have cut short says nothing
 	// about the upstream.
 	connectFailed := o.Kind == mesh.OutcomeNotRun && o.Reason == mesh.ReasonUnreachable && req.deadline-started >= dialTimeout
-	if crashed || connectFailed {
+	if down || connectFailed {
 		result = mesh.RunUnreachable
 	}
 	s.node.WorkDone(now, work, now-started, result)
@@ -114,6 +115,12 @@
 	return o
 }
 
+func (s *Sidecar) upstreamDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.UpstreamDown()
+}
+
 // runResult returns what an outcome says about the health of the local upstream.
 func runResult(ctx context.Context, o mesh.Outcome) mesh.RunResult {
 	switch {
@@ -134,10 +141,7 @@
 // probeUpstream marks an upstream that is down as recovered if it accepts connections
 // again.
 func (s *Sidecar) probeUpstream() {
-	s.mu.Lock()
-	down := s.node.UpstreamDown()
-	s.mu.Unlock()
-	if !down {
+	if !s.upstreamDown() {
 		return
 	}
 	// A maximum idle time of 0 forces a new connection.
@@ -145,6 +149,11 @@
 	if err != nil {
 		return
 	}
+	time.Sleep(resetDelay)
+	if !conn.StillOpen() {
+		s.upstreamPool.Discard(conn)
+		return
+	}
 	s.upstreamPool.Put(conn)
 	s.mu.Lock()
 	s.node.UpstreamRecovered()
@@ -152,16 +161,49 @@
 	s.log.Info("upstream regained", field("address", s.upstreamPool.Address()))
 }
 
-// upstreamRefusesConnections reports whether the local upstream refuses new
-// connections, as it does once its process has ended. An open connection proves nothing,
-// because its reset may be under way.
-func (s *Sidecar) upstreamRefusesConnections() bool {
+const (
+	// resetDelay is the time within which the ends of all connections to a process that has
+	// ended arrive.
+	resetDelay = 30 * time.Millisecond
+	// maxDowntimeGuess is how long after a crash an upstream may still be down while
+	// something accepts its connections, as long as it has not answered.
+	maxDowntimeGuess = time.Second
+)
+
+// explainLoss reports whether the answer to a run that started at a time was lost because
+// the process of the local upstream ended, and whether the upstream is down now. If
+// something still accepts connections, as a proxy does or a listener that outlives the
+// process, the process has ended if no connection from before the run is open.
+func (s *Sidecar) explainLoss(started time.Duration) (crashed, down bool) {
 	conn, err := s.upstreamPool.Dial(dialTimeout)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		return refused, refused
 	}
-	s.upstreamPool.Put(conn)
-	return false
+	time.Sleep(resetDelay)
+	down = !conn.StillOpen()
+	if down {
+		s.upstreamPool.Discard(conn)
+	} else {
+		s.upstreamPool.Put(conn)
+	}
+	if s.upstreamPool.AnyOpenSince(s.started.Add(started)) {
+		return false, false
+	}
+	return s.recordSilentCrash(started), down
+}
+
+// recordSilentCrash records that the process of the local upstream ended while something
+// still accepts connections, and reports whether it ran a request that started at a time. A
+// request that was sent shortly after another crash may have met the same one.
+func (s *Sidecar) recordSilentCrash(started time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crashedBefore := s.silentCrashAt > 0 && started >= s.silentCrashAt && started < s.silentCrashAt+maxDowntimeGuess && s.answeredAt < s.silentCrashAt
+	if !crashedBefore && started >= s.silentCrashAt {
+		s.silentCrashAt = s.now()
+	}
+	return !crashedBefore
 }
 
 // maxIdleFor returns how long a connection to the upstream may have been idle to carry
