Bound the memory of all responses that a node holds

What callers saw: bytes without end in a body, in chunks or until the connection closes, let a node take memory without bound, until it would be killed with all that it holds. Cause: only each single response had a limit, of 64 MB, in buffers that doubled and were kept in a pool; nothing bounded them together, and callers that read slowly keep theirs.

Bodies are now read into buffers that grow with the bytes that arrive, charged to a budget of a quarter of the instance's memory until the response is written. One response takes half of that at most. A body of a stated length waits for memory, one of unknown length fails with 502, so that two never wait for each other; up to 16 KB of a body are free, so that small answers go on. That the node has no memory is no fault of the upstream, and a connection that the node itself closes is no sign of a crash.

TestEndlessResponseIsCutOff (12 kinds), TestLongBodiesAreReadWhole, TestEndlessBodiesLeaveRoomForOthers.

--- a/harness/faults/checks.go
+++ b/harness/faults/checks.go
@@ -48,7 +48,7 @@
 	{"retry_after", findMissingRetryAfter}, {"lost", findLostResponses}, {"drain", findRequestsToDrained},
 	{"config_back", findTableRollbacks}, {"config_late", findLateTables}, {"budget", findExcessRetries},
 	{"deadline", findWrongDeadlines}, {"cancel", findMissedCancellations}, {"recovery", findFailedRecovery},
-	{"crasher", findCrashersNotStopped}, {"popular", findPopularNotServed},
+	{"crasher", findCrashersNotStopped}, {"popular", findPopularNotServed}, {"endless", findEndlessAnswersRead},
 }
 
 // anyInstance stands for all instances in place of the index of one.
--- a/harness/faults/checks_test.go
+++ b/harness/faults/checks_test.go
@@ -48,7 +48,8 @@
 		"popular": func(h *history) {
 			h.requests[popularID] = &request{id: popularID, node: 1, fromUpstream: true, status: 502}
 		},
-		"drain": func(h *history) { h.drains = []drainPeriod{{upstream: "u0", from: 10 * time.Second}} },
+		"endless": func(h *history) { h.endless = append(h.endless, endlessAnswer{duration: maxEndlessTime + time.Second}) },
+		"drain":   func(h *history) { h.drains = []drainPeriod{{upstream: "u0", from: 10 * time.Second}} },
 		"config_back": func(h *history) {
 			late := *h.requests["c1"]
 			late.id, late.status, late.sentAt, late.endedAt = "c4", 404, late.sentAt+time.Second, late.endedAt+time.Second
--- a/harness/faults/history.go
+++ b/harness/faults/history.go
@@ -14,6 +14,7 @@
 	arrivals  []arrival
 	faults    []fault
 	drains    []drainPeriod
+	endless   []endlessAnswer
 	// publishedAt is when each version of the routing table was published.
 	publishedAt map[int]time.Duration
 }
--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -39,6 +39,8 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	logFile *os.File
+	// peakMemory is the most memory that a process of the node took, in bytes.
+	peakMemory int64
 }
 
 // ports are the listening ports; each instance uses the same ones on its own IPs.
--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -47,6 +47,8 @@
 	// RetryShare is the largest share of the allowed retries that a service received in a
 	// window.
 	RetryShare float64
+	// PeakMemory is the most memory that a node's process took, in bytes.
+	PeakMemory int64
 	// Violations lists the violated guarantees as "check: description".
 	Violations []string
 }
@@ -340,6 +342,7 @@
 			r.recordViolation(c.name, description)
 		}
 	}
+	report.PeakMemory = r.reportMemory()
 	for _, n := range r.instances {
 		if n.waitExited(0) {
 			r.recordViolation("exit", fmt.Sprintf("node %d exited unexpectedly", n.index))
--- a/harness/faults/schedule.go
+++ b/harness/faults/schedule.go
@@ -149,6 +149,7 @@
 // new process. Until restart has returned, further calls for this node wait.
 func (n *instance) terminate(r *runner, s syscall.Signal) (restart func()) {
 	n.restartMutex.Lock()
+	n.recordPeakMemory()
 	n.signal(s)
 	n.signal(syscall.SIGCONT)
 	if !n.waitExited(stopTimeout) {
--- a/harness/faults/upstream.go
+++ b/harness/faults/upstream.go
@@ -138,6 +138,10 @@
 		u.history.recordArrival(a)
 		u.crash()
 		return
+	case strings.HasPrefix(id, endlessID):
+		u.history.recordArrival(a)
+		u.answerWithoutEnd(ctx, id)
+		return
 	case u.shedding.Load() && u.requestCount.Add(1)%2 == 0:
 		a.executed = false
 		u.history.recordArrival(a)
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -265,6 +265,7 @@
 	for x := range c.pipeline {
 		<-x.done
 		if stopped || c.ctx.Err() != nil {
+			x.finish()
 			c.removeOpenRequest()
 			continue
 		}
@@ -277,8 +278,10 @@
 		if err == nil {
 			err = out.Flush()
 		}
+		closes := err != nil || x.Response.ConnectionClose()
+		x.finish()
 		c.removeOpenRequest()
-		if err != nil || x.Response.ConnectionClose() {
+		if closes {
 			stopped = true
 			c.stopReading()
 		}
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -45,6 +45,20 @@
 	// as the handler may change the request.
 	callerCloses, isHead bool
 	done                 chan struct{}
+	// release is called once the response has been written or discarded; see OnRelease.
+	release func()
+}
+
+// OnRelease makes the listener call release once it no longer needs the response, because it
+// has been written or discarded. Only a handler may call it, once.
+func (x *Exchange) OnRelease(release func()) { x.release = release }
+
+// finish frees the response.
+func (x *Exchange) finish() {
+	x.Response.Reset()
+	if x.release != nil {
+		x.release()
+	}
 }
 
 // Handler fills in the response. ctx is cancelled when the caller disconnects.
--- a/node/internal/pool/exchange.go
+++ b/node/internal/pool/exchange.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 )
 
 // Errors of a response that is received but rejected.
@@ -41,6 +44,10 @@
 type ExchangeOptions struct {
 	// MaxBodyBytes is the maximum size of a response body, in bytes.
 	MaxBodyBytes int
+	// Lease is charged with the memory of the body, nil if that is not limited in total.
+	// A body with a stated length waits for memory until WaitUntil; others fail.
+	Lease     *memory.Lease
+	WaitUntil time.Time
 	// AllowUnknownLength accepts a response without a length, whose body ends
 	// when the target closes the connection.
 	AllowUnknownLength bool
@@ -103,6 +110,7 @@
 		}
 		skip := resp.SkipBody
 		resp.Reset()
+		opts.Lease.Release()
 		resp.SkipBody = skip
 	}
 	return ErrTooManyUnmatched
@@ -124,10 +132,7 @@
 		}
 		c.NotReusable = true
 	}
-	if err := resp.ReadBody(c.Reader, opts.MaxBodyBytes); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			return ErrTooLarge
-		}
+	if err := readBody(c, resp, opts); err != nil {
 		return errors.Wrap(err, "read response")
 	}
 	if length == chunkedLength {
--- a/node/internal/pool/exchange_test.go
+++ b/node/internal/pool/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
 	"github.com/shallotspool/shallotspool/node/internal/rawserver"
 )
@@ -133,3 +135,109 @@
 		t.Fatalf("got error %v, or the idle connection; want a new connection", err)
 	}
 }
+
+// endlessResponses are responses that continue until the connection is closed. Each is a
+// beginning and what is repeated after it.
+var endlessResponses = map[string][2]string{
+	"status line":       {"HTTP/1.1 200 ", "x"},
+	"field":             {"HTTP/1.1 200 OK\r\nId: own\r\nA: ", "x"},
+	"many fields":       {"HTTP/1.1 200 OK\r\nId: own\r\n", "A: x\r\n"},
+	"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"other responses":   {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+	"stated length":     {"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 9000000000000000000\r\n\r\n", "x"},
+	"chunks":            {"HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	"one chunk":         {"HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n", "x"},
+	"chunk size":        {"HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	"chunk extension":   {"HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"trailer":           {"HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "A: x\r\n"},
+	"until closed":      {"HTTP/1.1 200 OK\r\nId: own\r\n\r\n", "x"},
+}
+
+// TestEndlessResponseIsCutOff guards against a response without end that takes memory and
+// time without bound.
+func TestEndlessResponseIsCutOff(t *testing.T) {
+	const repeats, maxBody, timeout = 4 << 10, 1 << 20, 20 * time.Second
+	for name, response := range endlessResponses {
+		written := make(chan int, 1)
+		address := rawserver.Serve(t, func(conn net.Conn) {
+			var req fasthttp.Request
+			_ = req.Read(bufio.NewReader(conn))
+			_, err := io.WriteString(conn, response[0])
+			block, total := []byte(strings.Repeat(response[1], repeats)), 0
+			for err == nil {
+				var n int
+				n, err = conn.Write(block)
+				total += n
+			}
+			_ = conn.Close()
+			written <- total
+		})
+		p := pool.New(pool.Config{Address: address, MaxConnections: 1})
+		budget := memory.NewBudget(maxBody)
+		conn, err := p.Get(time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lease, opts := budget.NewLease(), options
+		opts.MaxBodyBytes, opts.Lease, opts.WaitUntil = maxBody, lease, time.Now().Add(timeout)
+		var req fasthttp.Request
+		req.SetRequestURI("/")
+		req.Header.SetHost("h")
+		_ = conn.SetDeadline(time.Now().Add(timeout))
+		started := time.Now()
+		err = conn.ExchangeWithOptions(&req, &fasthttp.Response{}, opts)
+		if err == nil || time.Since(started) > timeout/2 {
+			t.Errorf("%s: error %v after %v, want one long before the deadline", name, err, time.Since(started))
+		}
+		if budget.Used() > maxBody {
+			t.Errorf("%s: %d bytes taken, want at most %d", name, budget.Used(), maxBody)
+		}
+		lease.Release()
+		p.Discard(conn)
+		p.Close()
+		// Socket buffers of both sides may hold some megabytes more than was read.
+		if total := <-written; total > 32<<20 {
+			t.Errorf("%s: %d bytes were read", name, total)
+		}
+		if budget.Used() != 0 {
+			t.Errorf("%s: %d bytes are still taken, want none", name, budget.Used())
+		}
+	}
+}
+
+// TestLongBodiesAreReadWhole guards against true long bodies being cut off or changed.
+func TestLongBodiesAreReadWhole(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 200<<10)
+	chunks := &strings.Builder{}
+	for rest := body; rest != ""; {
+		n := min(len(rest), 1+len(rest)/3)
+		fmt.Fprintf(chunks, "%X ;a=b\r\n%s\r\n", n, rest[:n])
+		rest = rest[n:]
+	}
+	for name, text := range map[string]string{
+		"stated length": fmt.Sprintf("HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks":        "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks.String() + "0\r\nA: b\r\n\r\n",
+		"until closed":  "HTTP/1.1 200 OK\r\nId: own\r\n\r\n" + body + "END",
+	} {
+		p := serve(t, text)
+		conn, err := p.Get(time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		budget := memory.NewBudget(2 * len(body))
+		lease, opts := budget.NewLease(), options
+		opts.MaxBodyBytes, opts.Lease, opts.WaitUntil = len(body), lease, time.Now().Add(time.Minute)
+		var req fasthttp.Request
+		resp := &fasthttp.Response{}
+		req.SetRequestURI("/")
+		req.Header.SetHost("h")
+		_ = conn.SetDeadline(time.Now().Add(time.Minute))
+		if err := conn.ExchangeWithOptions(&req, resp, opts); err != nil || string(resp.Body()) != body {
+			t.Errorf("%s: error %v and %d bytes, want the whole body of %d bytes", name, err, len(resp.Body()), len(body))
+		}
+		// A small part of each body is not charged.
+		if held := budget.Used(); held < len(body)-32<<10 {
+			t.Errorf("%s: %d bytes taken, want about the size of the body", name, held)
+		}
+	}
+}
--- a/node/sidecar/caller.go
+++ b/node/sidecar/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/shallotspool/shallotspool/core/mesh"
 	"github.com/shallotspool/shallotspool/node/internal/listener"
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 )
 
 // serveCaller handles a request from a caller or from the local upstream, and retries
@@ -29,8 +30,9 @@
 	if step.Kind == mesh.StepSend {
 		s.prepareRequest(&x.Request)
 	}
+	lease := s.newLease(x)
 	for step.Kind == mesh.StepSend {
-		o := s.attempt(ctx, x, call, step.Target)
+		o := s.attempt(ctx, x, call, step.Target, lease)
 		if ctx.Err() != nil {
 			s.abandonCall(call, step)
 			return
@@ -85,11 +87,11 @@
 
 // attempt sends the call to one target and returns the outcome. The response, if there
 // is one, is in x.Response.
-func (s *Sidecar) attempt(ctx context.Context, x *listener.Exchange, c *mesh.Call, t mesh.Target) mesh.Outcome {
+func (s *Sidecar) attempt(ctx context.Context, x *listener.Exchange, c *mesh.Call, t mesh.Target, lease *memory.Lease) mesh.Outcome {
 	x.Response.Reset()
 	req := &upstreamRequest{
 		request: &x.Request, response: &x.Response, id: c.ID, rank: c.Rank, routeID: c.RouteID,
-		deadline: c.Deadline, nonIdempotent: !c.Route.Idempotent, rateLimit: t.RateLimit, limited: t.Limited,
+		deadline: c.Deadline, lease: lease, nonIdempotent: !c.Route.Idempotent, rateLimit: t.RateLimit, limited: t.Limited,
 	}
 	req.rank.Age += s.now() - c.Arrived
 	x.Request.Header.Set(s.dialect.Headers.ExpectInstance, t.Upstream)
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"strconv"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/mesh"
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
 	"github.com/shallotspool/shallotspool/node/internal/sockets"
 )
@@ -23,8 +25,12 @@
 	// responseGrace is how long after the deadline a response is still awaited: an
 	// upstream that responds exactly at the deadline has its response in transit then.
 	responseGrace = 50 * time.Millisecond
-	// maxResponseBytes limits the size of one response.
+	// maxResponseBytes limits the size of one response; see responseLimit.
 	maxResponseBytes = 64 << 20
+	// responseMemoryShare is the share of the instance's memory that the responses held at
+	// one time may take, and maxResponseShare the share of that for a single one.
+	responseMemoryShare = 0.25
+	maxResponseShare    = 0.5
 	// maxPeerIdle is how long an idle connection to another node is kept. It is long
 	// enough for infrequent but steady requests to reuse connections, and short because
 	// TCP keep-alive probes every idle connection.
@@ -111,9 +117,13 @@
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonDeadline}
 	}
 	req.request.Header.Set(s.dialect.Headers.Deadline, strconv.FormatInt(remaining.Milliseconds(), 10))
-	_ = conn.SetDeadline(time.Now().Add(remaining + responseGrace))
+	end := time.Now().Add(remaining + responseGrace)
+	_ = conn.SetDeadline(end)
+	req.lease.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = conn.ExchangeWithOptions(req.request, req.response, pool.ExchangeOptions{MaxBodyBytes: maxResponseBytes, AllowUnknownLength: true, BelongsToRequest: belongsToRequest})
+	err = conn.ExchangeWithOptions(req.request, req.response, pool.ExchangeOptions{
+		MaxBodyBytes: s.responseLimit(), Lease: req.lease, WaitUntil: end, AllowUnknownLength: true, BelongsToRequest: belongsToRequest,
+	})
 	if !stop() {
 		// The caller has disconnected.
 		p.Discard(conn)
@@ -121,6 +131,9 @@
 	}
 	if err != nil {
 		sent := conn.Sent()
+		req.connectionEnded, req.outOfMemory = endedByRemote(err), errors.Is(err, memory.ErrExhausted)
+		req.response.Reset()
+		req.lease.Release()
 		p.Discard(conn)
 		return s.failedExchange(p, req, err, sent)
 	}
@@ -132,6 +145,21 @@
 	return mesh.Outcome{Kind: mesh.OutcomeAnswered, ReachedUpstream: true, Status: req.response.StatusCode()}
 }
 
+// newResponseMemory returns the memory for all responses that an instance holds at a time.
+func newResponseMemory(s *Settings) *memory.Budget {
+	return memory.NewBudget(int(responseMemoryShare * float64(s.Limits.MemoryMB<<20)))
+}
+
+// responseLimit returns the largest size of one response.
+func (s *Sidecar) responseLimit() int {
+	return min(maxResponseBytes, int(maxResponseShare*float64(s.responseMemory.Limit())))
+}
+
+// endedByRemote reports whether the remote side ended the connection.
+func endedByRemote(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
 // failedExchange returns the outcome of an exchange that ended without a complete
 // response. sent reports whether any byte of the request was written.
 func (s *Sidecar) failedExchange(p *pool.Pool, req *upstreamRequest, err error, sent bool) mesh.Outcome {
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -351,3 +351,18 @@
 	c.send(method, path, id)
 	return c.receive()
 }
+
+// responseMemory returns the memory that the responses held by a node take, in bytes.
+func (f *fleet) responseMemory(ip string) int {
+	_, text, err := fasthttp.Get(nil, "http://"+f.address(ip, metricsPort)+"/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "\nshallot_response_memory_bytes ")
+	value, _, _ := strings.Cut(rest, "\n")
+	bytes, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return int(bytes)
+}
--- a/node/sidecar/gauges.go
+++ b/node/sidecar/gauges.go
@@ -51,6 +51,7 @@
 	for _, refused := range s.node.RefusedRetries() {
 		add("shallot_repeats_refused_total", "cause", refused.Cause.String(), float64(refused.Count))
 	}
+	add("shallot_response_memory_bytes", "", "", float64(s.responseMemory.Used()))
 	add("shallot_uptime_seconds", "", "", now.Seconds())
 	for _, peer := range s.node.PeerReports(now) {
 		add("shallot_heartbeat_age_seconds", "instance", peer.Instance, peer.HeartbeatAge.Seconds())
--- a/node/sidecar/node_headers.go
+++ b/node/sidecar/node_headers.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/mesh"
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 )
 
 // The header fields that nodes add to requests and responses between each other.
@@ -29,6 +30,14 @@
 	deadline time.Duration
 	// nonIdempotent means that the request must not run twice.
 	nonIdempotent bool
+	// lease is charged with the memory of the response.
+	lease *memory.Lease
+	// outOfMemory is set if the last exchange failed because this node has no memory left for
+	// responses.
+	outOfMemory bool
+	// connectionEnded is set if the last exchange failed because the remote side ended the
+	// connection.
+	connectionEnded bool
 	// rateLimit is the limit that the upstream named to the sending node, in requests per
 	// second, if limited is set.
 	rateLimit float64
--- a/node/sidecar/requests_test.go
+++ b/node/sidecar/requests_test.go
@@ -1,6 +1,8 @@
 package sidecar_test
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -343,3 +345,59 @@
 		})
 	}
 }
+
+// TestEndlessBodiesLeaveRoomForOthers guards against bodies without end, and callers that
+// read slowly, that take all the memory for responses: they are cut off, true long bodies
+// are delivered whole, other requests go on, and no memory stays taken.
+func TestEndlessBodiesLeaveRoomForOthers(t *testing.T) {
+	const longBody = 20 << 20
+	f := newFleet(t, "front/"+front, "deep/"+deep)
+	long := strings.Repeat("0123456789abcdef", longBody/16)
+	f.upstreams[deep].setResponse(func(ctx *fasthttp.RequestCtx) {
+		switch path := string(ctx.Path()); {
+		case strings.HasPrefix(path, "/read/endless"):
+			id := string(ctx.Request.Header.Peek("X-Id"))
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(conn net.Conn) {
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for block := strings.Repeat("4\r\nabcd\r\n", 1000); err == nil; {
+					_, err = io.WriteString(conn, block)
+				}
+			})
+		case strings.HasPrefix(path, "/read/long"):
+			ctx.SetBodyString(long)
+		}
+	})
+	var notReading []*caller
+	for i := range 6 {
+		endless, slow := f.caller(front), f.caller(front)
+		endless.send("GET", fmt.Sprintf("/read/endless/%d", i), fmt.Sprint("e", i))
+		slow.send("GET", fmt.Sprintf("/read/long/%d", i), fmt.Sprint("l", i))
+		notReading = append(notReading, endless, slow)
+	}
+	// The only upstream counts as faulty meanwhile, so that some requests are refused.
+	other, served := f.caller(front), 0
+	for i := range 50 {
+		got := other.request("GET", "/read/short", fmt.Sprint("s", i))
+		if got.status != 200 && (got.status != 503 || got.header["Retry-After"] == "") {
+			t.Fatalf("request %d beside endless ones got %+v, want status 200, or 503 with Retry-After", i, got)
+		}
+		if got.status == 200 {
+			served++
+		}
+	}
+	if served == 0 {
+		t.Error("no request was served beside endless ones")
+	}
+	if got := f.caller(deep).request("GET", "/read/endless", "e"); got.status != 502 {
+		t.Errorf("got status %d for a body without end, want 502", got.status)
+	}
+	for _, c := range notReading {
+		_ = c.conn.Close()
+	}
+	f.eventually("a long body is delivered", func() bool {
+		got := f.caller(deep).request("GET", "/read/long", "l")
+		return got.status == 200 && got.body == long
+	})
+	f.eventually("no memory is taken", func() bool { return f.responseMemory(front) == 0 && f.responseMemory(deep) == 0 })
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/shallotspool/shallotspool/core/store"
 	"github.com/shallotspool/shallotspool/node/internal/listener"
 	"github.com/shallotspool/shallotspool/node/internal/logging"
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 	"github.com/shallotspool/shallotspool/node/internal/metrics"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
 	"github.com/shallotspool/shallotspool/node/internal/task"
@@ -73,8 +74,10 @@
 
 	store        store.Reader
 	upstreamPool *pool.Pool
-	peerPoolsMu  sync.Mutex
-	peerPools    map[string]*pool.Pool
+	// responseMemory bounds the memory of all responses held.
+	responseMemory *memory.Budget
+	peerPoolsMu    sync.Mutex
+	peerPools      map[string]*pool.Pool
 
 	callerListener, peerListener, readyListener, metricsListener *listener.Listener
 	heartbeatConn                                                *net.UDPConn
@@ -99,6 +102,7 @@
 		log: logging.New(out, level, logging.Field{Key: "node", Value: s.Node}),
 	}
 	sc.settings.Store(s)
+	sc.responseMemory = newResponseMemory(s)
 	debug.SetMemoryLimit(int64(heapLimitShare * float64(s.Limits.MemoryMB<<20)))
 	sc.ctx, sc.cancel = context.WithCancel(context.Background())
 	sc.tasks = task.NewGroup(sc.fail)
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/shallotspool/shallotspool/core/concurrency"
 	"github.com/shallotspool/shallotspool/core/mesh"
 	"github.com/shallotspool/shallotspool/node/internal/listener"
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 )
 
 // servePeer handles a request from another node: either a forwarded request, to run at
@@ -28,7 +29,7 @@
 	h := &x.Request.Header
 	req := &upstreamRequest{
 		request: &x.Request, response: &x.Response, id: string(h.Peek(s.dialect.Headers.RequestID)),
-		deadline: s.now() + s.requestTimeout(h),
+		deadline: s.now() + s.requestTimeout(h), lease: s.newLease(x),
 	}
 	if !parseRank(string(h.Peek(rankHeader)), req) {
 		s.log.Warn("request from node has no valid rank", field("address", x.RemoteIP))
@@ -55,6 +56,13 @@
 	resp.Header.Set(loadHeader, formatLoad(load))
 }
 
+// newLease returns a lease for the response of x, which ends once that is written.
+func (s *Sidecar) newLease(x *listener.Exchange) *memory.Lease {
+	lease := s.responseMemory.NewLease()
+	x.OnRelease(lease.Release)
+	return lease
+}
+
 // runOnUpstream sends req to the local upstream once a slot is free, and reports the
 // result to s.node.
 func (s *Sidecar) runOnUpstream(ctx context.Context, req *upstreamRequest) mesh.Outcome {
@@ -80,7 +88,7 @@
 			s.mu.Unlock()
 		}
 	}
-	lost := o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonLost && ctx.Err() == nil
+	lost := o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonLost && req.connectionEnded && ctx.Err() == nil
 	var crashed, down bool
 	if lost {
 		crashed, down = s.explainLoss(started)
@@ -97,6 +105,9 @@
 	}
 	running := s.node.Load().Running
 	result := runResult(ctx, o)
+	if req.outOfMemory {
+		result = mesh.RunInconclusive
+	}
 	// A connection attempt that the request's deadline may have cut short says nothing
 	// about the upstream.
 	connectFailed := o.Kind == mesh.OutcomeNotRun && o.Reason == mesh.ReasonUnreachable && req.deadline-started >= dialTimeout
