Tell a connection that stopped responding from a deadline

Cause: fasthttp replaces every error at the first byte of a response by a timeout or an end of file, so that a TCP timeout passed for the request's own deadline; the other connections to that node, as dead, stayed in the pool, and each cost the next request 0.9 s.

The connection keeps the error of the socket.

--- a/node/internal/pool/conn.go
+++ b/node/internal/pool/conn.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Buffer sizes of a connection. A response header must fit into the read buffer.
@@ -25,17 +28,35 @@
 	NotReusable bool
 
 	bytesWritten atomic.Int64
-	openedAt     time.Time
-	idleSince    time.Time
+	// readError is the error of the last read from the socket.
+	readError error
+	openedAt  time.Time
+	idleSince time.Time
 }
 
 func newConn(raw net.Conn) *Conn {
 	c := &Conn{Conn: raw, openedAt: time.Now()}
-	c.Reader = bufio.NewReaderSize(raw, readBufferBytes)
+	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
 	c.Writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
 }
 
+// Read reads from the socket and keeps the error.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.readError = err
+	return n, err
+}
+
+// socketError returns the error of the socket if that is why reading a response failed with
+// err. fasthttp replaces all errors at the first byte of a response.
+func (c *Conn) socketError(err error) error {
+	if err == nil || c.readError == nil || errors.Is(c.readError, io.EOF) {
+		return err
+	}
+	return errors.Wrap(c.readError, "read response")
+}
+
 // Write writes to the socket and counts the bytes written.
 func (c *Conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
--- a/node/internal/pool/exchange.go
+++ b/node/internal/pool/exchange.go
@@ -69,11 +69,11 @@
 		if err := c.send(req); err != nil {
 			return err
 		}
-		return c.readMatching(resp, opts)
+		return c.socketError(c.readMatching(resp, opts))
 	}
 	sendResult := make(chan error, 1)
 	go func() { sendResult <- c.send(req) }()
-	err := c.readMatching(resp, opts)
+	err := c.socketError(c.readMatching(resp, opts))
 	select {
 	case sendErr := <-sendResult:
 		return errors.CombineErrors(err, sendErr)
