Ask a silent node whether a request has arrived, and keep it from running if not

Cause: an attempt without an answer of the other node counts as one that may have run, though most were lost on a connection that had stopped responding.

The sender now asks that node, on a new connection and within 0.3 s, whether the request has arrived. A node remembers the requests that arrived, by a hash of their IDs; if this one has not, it refuses it from then on, and the sender may send it elsewhere or refuse it. A node that started after the request was sent, or has forgotten requests of that time, cannot tell.

Evidence: TestFencedRequestNeverRuns, TestForgottenReceiptsAreUnknown, TestFencedRequestDoesNotRun; TestRequestThatDidNotArriveIsSentElsewhere gives 502 without the change.

--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -40,6 +40,7 @@
 	instances     map[string]string
 	outlierGroups map[string]*outlierGroup
 	suspects      *suspect.Table
+	receipts      receipts
 	admission     admission
 	refusals      refusals
 	usage         usage
@@ -85,6 +86,7 @@
 		splitter: route.NewSplitter(), registry: registry.New(), limiter: concurrency.New(),
 		budget: newRetryBudget(cfg.RetryBounds, cfg.StartedAt), runTimes: runTimes{},
 		peers: map[string]*peer{}, instances: map[string]string{}, outlierGroups: map[string]*outlierGroup{},
+		receipts:  newReceipts(cfg.StartedAt),
 		suspects:  newSuspects(cfg.Instance, cfg.Incarnation),
 		admission: newAdmission(), refusals: refusals{expires: map[uint64]time.Duration{}},
 		usage: usage{roots: map[uint32]*rootUsage{}}, openWork: map[string]*parentRequest{},
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -72,6 +72,7 @@
 // sendToPeer forwards req to the node at instance, whose upstream is to run it.
 func (s *Sidecar) sendToPeer(ctx context.Context, req *upstreamRequest, instance string) mesh.Outcome {
 	req.request.Header.Set(rankHeader, formatRank(req))
+	sentAt := s.now()
 	o := s.exchange(ctx, s.peerPool(instance), req, maxPeerIdle, func(h *fasthttp.ResponseHeader) bool {
 		return len(h.Peek(resultHeader)) > 0
 	})
@@ -79,6 +80,9 @@
 		// A peer that is alive normally responds within responseGrace of the deadline,
 		// so a timeout is taken to mean that it is silent.
 		o.NodeSilent = o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonDeadline
+		if o.Kind == mesh.OutcomeUnknown && s.fence(ctx, req, instance, sentAt) {
+			return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonUnreachable}
+		}
 		return o
 	}
 	h := &req.response.Header
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -24,6 +24,10 @@
 		s.serveState(ctx, x)
 		return
 	}
+	if isFenceRequest(x) {
+		s.serveFence(x)
+		return
+	}
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	h := &x.Request.Header
@@ -39,7 +43,15 @@
 	h.Del(rankHeader)
 	removeHopByHopHeaders(h)
 	h.ResetConnectionClose()
-	o := s.runOnUpstream(ctx, req)
+	o := mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonUnreachable}
+	s.mu.Lock()
+	mayRun := s.node.ReceiveWork(s.now(), requestHash(req.id))
+	s.mu.Unlock()
+	if mayRun {
+		o = s.runOnUpstream(ctx, req)
+	} else {
+		s.logRefusal(req, o.Reason)
+	}
 	resp := &x.Response
 	if o.Kind != mesh.OutcomeAnswered {
 		resp.Reset()
