Refuse a blocked request that has not run, instead of failing it

What callers saw: a request that is not run, because it ran at crashes before, was answered 502, which says that it may have run; a harmless one that is not idempotent could not be sent again after it was cleared. It is now refused with a time to come back, as any request that reached no upstream. One that may have run in this attempt is failed as before, and a server error that its upstream gave is delivered.

Three checks of mesh tests ask for the refusal instead of the failure, one also for the time to come back: they name the status of the very request this changes. The property test of the attempt's result covers the reason added last. go test ./core/... ./node/sidecar: passed.

--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -35,7 +35,8 @@
 	case o.Kind == OutcomeAnswered && !n.isServerError(o):
 		return Step{Kind: StepDeliver}
 	case o.Reason == ReasonCrasher, n.blocked(now, c.fingerprint):
-		return Step{Kind: StepFail, Reason: ReasonCrasher}
+		o.Reason = ReasonCrasher
+		return n.finalStep(c, o)
 	case o.Kind == OutcomeNotRun:
 		return n.afterNotRun(now, c, o)
 	case c.Route.Idempotent && n.claimRetry(now, c):
--- a/core/mesh/crash_spread_test.go
+++ b/core/mesh/crash_spread_test.go
@@ -67,11 +67,11 @@
 	f.nodes[i] = fresh
 }
 
-// blockedAt returns the nodes that fail a request at once because it crashes upstreams.
+// blockedAt returns the nodes that refuse a request at once because it crashes upstreams.
 func (f *crashFleet) blockedAt(fingerprint uint64) (nodes []string) {
 	for _, n := range f.nodes {
 		c, step := n.StartCall(f.now, IncomingRequest{ID: "r", Host: "h", Path: "/b/1", Fingerprint: fingerprint})
-		if step.Kind == StepFail && step.Reason == ReasonCrasher {
+		if step.Kind == StepRefuse && step.Reason == ReasonCrasher {
 			nodes = append(nodes, n.cfg.Instance)
 		} else {
 			n.AbandonCall(f.now, c)
@@ -179,8 +179,8 @@
 	}
 	f.restart(3)
 	c, _ := f.nodes[3].StartCall(f.now, IncomingRequest{ID: "r", Host: "h", Path: "/b/1", Fingerprint: crasherFingerprint})
-	if step := f.nodes[3].EndAttempt(f.now, c, Outcome{Kind: OutcomeNotRun, Reason: ReasonCrasher}); step.Kind != StepFail || step.Reason != ReasonCrasher {
-		t.Errorf("step %+v where the request entered, want StepFail with ReasonCrasher and no further attempt", step)
+	if step := f.nodes[3].EndAttempt(f.now, c, Outcome{Kind: OutcomeNotRun, Reason: ReasonCrasher}); step.Kind != StepRefuse || step.Reason != ReasonCrasher {
+		t.Errorf("step %+v where the request entered, want StepRefuse with ReasonCrasher and no further attempt", step)
 	}
 }
 
--- a/core/mesh/crash_test.go
+++ b/core/mesh/crash_test.go
@@ -36,8 +36,8 @@
 		exchangeHeartbeats(0, nodes)
 	}
 	for _, n := range nodes {
-		if _, step := n.StartCall(time.Second, IncomingRequest{ID: "r", Host: "h", Path: "/b/1", Fingerprint: 77}); step.Kind != StepFail || step.Reason != ReasonCrasher {
-			t.Errorf("%s: step %+v for the crashing request, want StepFail with ReasonCrasher", n.cfg.Instance, step)
+		if _, step := n.StartCall(time.Second, IncomingRequest{ID: "r", Host: "h", Path: "/b/1", Fingerprint: 77}); step.Kind != StepRefuse || step.Reason != ReasonCrasher || step.RetryAfter <= 0 {
+			t.Errorf("%s: step %+v for the crashing request, want StepRefuse with ReasonCrasher and a time to come back", n.cfg.Instance, step)
 		}
 		if _, step := n.StartCall(time.Second, IncomingRequest{ID: "r", Host: "h", Path: "/b/1", Fingerprint: 78}); step.Kind != StepSend {
 			t.Errorf("%s: step %+v for another request, want StepSend", n.cfg.Instance, step)
--- a/core/mesh/doc.go
+++ b/core/mesh/doc.go
@@ -6,7 +6,7 @@
 // # A request
 //
 // StartCall looks up the route of a request, sets its deadline, and gives it the rank of
-// its parent request if that is at the local upstream now. It fails a request that is
+// its parent request if that is at the local upstream now. It refuses a request that is
 // known to crash upstreams, chooses the service and decides on admission. Calls made by
 // upstreams are always admitted. Then it picks an upstream and returns StepSend. The
 // program sends the request there and passes the outcome to EndAttempt, which returns
@@ -43,7 +43,7 @@
 //
 // The other uses need no plan. An attempt goes to the cheapest of a few upstreams, by run
 // time, load, fault share and data centre. A request that ran at two
-// crashes and has not completed since is failed at each node, but for a few trials; see
+// crashes and has not completed since is refused at each node, but for a few trials; see
 // package suspect. A node that missed more than four heartbeats
 // (maxMissedHeartbeats) is silent. A silent or ejected node gets requests only if no other
 // is usable, or as a probe if ejected. Its slots do not count, and a service whose nodes
--- a/core/mesh/start.go
+++ b/core/mesh/start.go
@@ -41,7 +41,7 @@
 	switch n.suspects.Status(now, request.Fingerprint) {
 	case suspect.Blocked:
 		n.suspects.RecordArrival(now, request.Fingerprint)
-		return c, c.recordIfFinal(Step{Kind: StepFail, Reason: ReasonCrasher}, false)
+		return c, c.recordIfFinal(n.refuse(c, ReasonCrasher), false)
 	case suspect.OnTrial:
 		c.onTrial = true
 	}
--- a/node/sidecar/node_headers_test.go
+++ b/node/sidecar/node_headers_test.go
@@ -40,7 +40,7 @@
 		}
 		o := mesh.Outcome{
 			Kind:   mesh.OutcomeKind(rapid.IntRange(int(mesh.OutcomeAnswered), int(mesh.OutcomeUnknown)).Draw(t, "kind")),
-			Reason: mesh.Reason(rapid.IntRange(0, int(mesh.ReasonCrasher)).Draw(t, "reason")), ReachedUpstream: rapid.Bool().Draw(t, "reached"),
+			Reason: mesh.Reason(rapid.IntRange(0, int(mesh.ReasonCrashed)).Draw(t, "reason")), ReachedUpstream: rapid.Bool().Draw(t, "reached"),
 		}
 		var parsed mesh.Outcome
 		if !parseResult(formatResult(o), &parsed) || parsed != o {
