Check in the soak that no attempt is given the time of the first again

The check compared only the time left at arrival. It now also compares the deadline with the caller's, without a fault of the two nodes on the way (TestChecksDetectViolations has a history for it).

--- a/harness/faults/checks.go
+++ b/harness/faults/checks.go
@@ -275,17 +275,38 @@
 	return count
 }
 
-// findWrongDeadlines finds requests that reached an upstream with no time left or with
-// more time than the caller's timeout.
+// findWrongDeadlines finds requests that reached an upstream with no time left, with more
+// time than the caller's timeout, or, without a fault on their way, with a deadline later
+// than the caller's. The last shows attempts that are given the time of the first again.
 func findWrongDeadlines(h *history) (violations []string) {
 	for _, a := range h.arrivals {
-		if r := h.requests[a.id]; r != nil && (a.remaining <= 0 || a.remaining > r.timeout+deadlineTolerance) {
+		r := h.requests[a.id]
+		if r == nil {
+			continue
+		}
+		if a.remaining <= 0 || a.remaining > r.timeout+deadlineTolerance {
 			violations = append(violations, fmt.Sprintf("%s arrived with %v left, its caller's timeout is %v", a.id, a.remaining, r.timeout))
 		}
+		late := a.arrivedAt + a.remaining - (r.sentAt + r.timeout)
+		if late > deadlineTolerance && !h.delayedOnTheWay(r, a) {
+			violations = append(violations, fmt.Sprintf("%s arrived with a deadline %v after its caller's", a.id, late))
+		}
 	}
 	return violations
 }
 
+// delayedOnTheWay returns whether a fault on the node of a request, or on that of the
+// upstream that it reached, may have delayed it. For calls of upstreams that is any fault.
+func (h *history) delayedOnTheWay(r *request, a arrival) bool {
+	from := r.sentAt - faultEffectTime
+	if r.node < 0 {
+		return h.hasUnplannedFault(from, a.arrivedAt, anyInstance)
+	}
+	var beside int
+	_, err := fmt.Sscanf(a.upstream, upstreamIDFormat, &beside)
+	return err != nil || h.nodeHadFault(from, a.arrivedAt, r.node) || h.nodeHadFault(from, a.arrivedAt, beside)
+}
+
 // findMissedCancellations finds requests that reached an upstream more than
 // maxCancelDelay after their caller had abandoned them, although no unplanned fault could
 // affect them. It returns none if there are at most maxLateArrivals of them.
--- a/harness/faults/checks_test.go
+++ b/harness/faults/checks_test.go
@@ -77,6 +77,11 @@
 			h.requests["c1"].status, h.requests["c2"].status = 502, 502
 		},
 	}
+	late := newFaultFreeHistory()
+	repeatArrival(late, 0, 2*deadlineTolerance)
+	if len(findWrongDeadlines(late)) == 0 {
+		t.Error("deadline: an attempt with the time of the first again was not detected")
+	}
 	for _, c := range checks {
 		if violations := c.findViolations(newFaultFreeHistory()); len(violations) > 0 {
 			t.Errorf("%s: reported %v for a history without violations", c.name, violations)
--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -75,7 +75,7 @@
 	n := &instance{index: i, service: service, ip: fmt.Sprintf("127.20.%d.1", i+1), ports: p, dir: o.Dir, binary: o.Binary, born: time.Now().UnixMilli()}
 	secondIP := fmt.Sprintf("127.20.%d.2", i+1)
 	n.upstream = &upstream{
-		history: h, service: service, id: fmt.Sprintf("u%d", i), address: n.address(p.upstream),
+		history: h, service: service, id: fmt.Sprintf(upstreamIDFormat, i), address: n.address(p.upstream),
 		nodeAddress: n.address(p.callers), workTime: upstreamWorkTime, defect: o.Defect,
 		outlivedByListener: o.Scenario == ListenerScenario,
 	}
@@ -105,6 +105,9 @@
 	return n, n.upstream.start()
 }
 
+// upstreamIDFormat is the ID of an upstream by the index of its instance.
+const upstreamIDFormat = "u%d"
+
 // upstreamWorkTime is the processing time of a request in an upstream.
 const upstreamWorkTime = 15 * time.Millisecond
 
