--- a/core/mesh/crash_test.go
+++ b/core/mesh/crash_test.go
@@ -126,3 +126,27 @@
 		t.Errorf("demand %+v, want one route with at least 50 requests offered per second", demand)
 	}
 }
+
+// TestEntryStopsCrasherAfterTwoUpstreams guards against a request that crashes one upstream
+// after the other within one attempt of its caller, before any heartbeat tells of it.
+func TestEntryStopsCrasherAfterTwoUpstreams(t *testing.T) {
+	entry := newFleet(t, testRoute("b", true))[0]
+	changes := testRegistrations()
+	for _, c := range changes {
+		c.Upstream.Service = "b"
+	}
+	entry.Registry().Replace(0, changes, registry.Position{Revision: 10})
+	entry.RegistryChanged()
+	c, step := entry.StartCall(0, IncomingRequest{ID: "r", Host: "h", Path: "/b/1", Fingerprint: 77})
+	runs := 0
+	for step.Kind == StepSend {
+		runs++
+		step = entry.EndAttempt(0, c, Outcome{Kind: OutcomeUnknown, Reason: ReasonCrashed, ReachedUpstream: true})
+	}
+	if runs > 2 || step.Kind != StepFail || step.Reason != ReasonCrasher {
+		t.Errorf("%d runs and last step %+v, want at most 2 and StepFail with ReasonCrasher", runs, step)
+	}
+	if _, step := entry.StartCall(0, IncomingRequest{ID: "r2", Host: "h", Path: "/b/1", Fingerprint: 77}); step.Kind != StepRefuse {
+		t.Errorf("step %+v for the next attempt of the caller, want StepRefuse", step)
+	}
+}
