--- a/harness/faults/crasher.go
+++ b/harness/faults/crasher.go
@@ -36,7 +36,7 @@
 		random := rand.New(rand.NewPCG(r.options.Seed, 99))
 		for i, end := 0, time.Now().Add(crasherPeriod); time.Now().Before(end); i++ {
 			if node := r.randomReadyInstance(random); node != nil {
-				sends.Go(func() { r.sendCrasherTo(node, i) })
+				sends.Go(func() { r.sendLeaf(node, fmt.Sprintf("%s-%d", crasherID, i), crasherID) })
 			}
 			time.Sleep(crasherPause)
 		}
@@ -62,7 +62,7 @@
 			random := rand.New(rand.NewPCG(r.options.Seed, uint64(1000+i)))
 			for n, end := 0, time.Now().Add(crasherPeriod); time.Now().Before(end); n++ {
 				if node := r.randomReadyInstance(random); node != nil {
-					r.sendPopular(node, fmt.Sprintf("%s-%d-%d", popularID, i, n))
+					r.sendLeaf(node, fmt.Sprintf("%s-%d-%d", popularID, i, n), popularID)
 				}
 				time.Sleep(meanCallerPause)
 			}
@@ -75,11 +75,13 @@
 	}
 }
 
-func (r *runner) sendPopular(n *instance, id string) {
+// sendLeaf sends a request with an ID to the path name of the leaf service, and records the
+// result.
+func (r *runner) sendLeaf(n *instance, id, name string) {
 	sent := &request{id: id, node: n.index, idempotent: true, fromUpstream: true, timeout: callTimeout}
 	r.history.recordRequest(sent)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	req.SetRequestURI("http://" + n.address(n.ports.callers) + "/leaf/" + popularID)
+	req.SetRequestURI("http://" + n.address(n.ports.callers) + "/leaf/" + name)
 	req.UseHostHeader = true
 	req.Header.SetHost(virtualHost)
 	req.Header.Set(platform.HeaderRequestID, id)
@@ -119,22 +121,6 @@
 	return violations
 }
 
-func (r *runner) sendCrasherTo(n *instance, i int) {
-	id := fmt.Sprintf("%s-%d", crasherID, i)
-	r.history.recordRequest(&request{id: id, node: n.index, idempotent: true, fromUpstream: true, timeout: callTimeout})
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	req.SetRequestURI("http://" + n.address(n.ports.callers) + "/leaf/" + crasherID)
-	req.UseHostHeader = true
-	req.Header.SetHost(virtualHost)
-	req.Header.Set(platform.HeaderRequestID, id)
-	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	// Its answer is of no interest, and no failure of it is one of the nodes.
-	if fasthttp.DoTimeout(req, resp, callTimeout) == nil {
-		fasthttp.ReleaseRequest(req)
-		fasthttp.ReleaseResponse(resp)
-	}
-}
-
 // findCrashersNotStopped finds requests that still reach upstreams long after they crashed
 // enough of them to be recognised. Sends from nodes that had a fault of their own shortly
 // before do not count.
--- a/harness/faults/endless.go
+++ b/harness/faults/endless.go
@@ -74,8 +74,9 @@
 	sends.Go(func() {
 		for round := range endlessRounds {
 			for i, n := range r.instances {
-				sends.Go(func() { r.sendEndlessTo(n, fmt.Sprintf("%s-%d-%d", endlessID, i, round)) })
-				sends.Go(func() { r.sendEndlessTo(n, fmt.Sprintf("%s-%d-again-%d", endlessID, i, round)) })
+				for _, id := range []string{fmt.Sprintf("%s-%d-%d", endlessID, i, round), fmt.Sprintf("%s-%d-again-%d", endlessID, i, round)} {
+					sends.Go(func() { r.sendLeaf(n, id, id) })
+				}
 			}
 			time.Sleep(endlessPause)
 		}
@@ -83,24 +84,6 @@
 	return sends.Wait
 }
 
-func (r *runner) sendEndlessTo(n *instance, id string) {
-	r.history.recordRequest(&request{id: id, node: n.index, idempotent: true, fromUpstream: true, timeout: callTimeout})
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	req.SetRequestURI("http://" + n.address(n.ports.callers) + "/leaf/" + id)
-	req.UseHostHeader = true
-	req.Header.SetHost(virtualHost)
-	req.Header.Set(platform.HeaderRequestID, id)
-	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callTimeout.Milliseconds(), 10))
-	err := fasthttp.DoTimeout(req, resp, callTimeout+responseGrace)
-	status := resp.StatusCode()
-	if err != nil {
-		status = 0
-	}
-	r.history.update(func() {
-		r.history.requests[id].status, r.history.requests[id].endedAt = status, r.history.now()
-	})
-}
-
 // findEndlessAnswersRead finds answers without end that a node went on reading, or passed on
 // as a success.
 func findEndlessAnswersRead(h *history) (violations []string) {
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -87,55 +87,71 @@
 		s.logRefusal(req, reason)
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: reason}
 	}
-	started := s.now()
-	work.Started = started
+	work.Started = s.now()
 	o := s.exchange(ctx, s.upstreamPool, req, s.maxIdleFor(req), s.responseMatcher(req))
 	if o.Kind == mesh.OutcomeAnswered {
-		notice := s.readNotice(&req.response.Header)
-		o = s.classifyResponse(req, o)
-		if o.Reason != mesh.ReasonMoved && o.Reason != mesh.ReasonLost {
-			o.Notice = notice
-			s.mu.Lock()
-			s.node.RecordNotice(s.now(), notice)
-			s.mu.Unlock()
-		}
+		o = s.readResponse(req, o)
 	}
 	lost := o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonLost && req.connectionEnded && ctx.Err() == nil
 	var crashed, down bool
 	if lost {
-		crashed, down = s.explainLoss(started)
+		crashed, down = s.explainLoss(work.Started)
 	}
-	s.mu.Lock()
-	now := s.now()
 	if crashed {
 		o.Reason = mesh.ReasonCrashed
+	}
+	running := s.recordRun(ctx, req, work, o, down)
+	switch {
+	case crashed:
+		s.logCrash(work, running)
+	case lost:
+		s.logUnexplainedLoss(work, running)
+	}
+	return o
+}
+
+// readResponse returns the outcome of a complete response, and records what the upstream says
+// of itself in it.
+func (s *Sidecar) readResponse(req *upstreamRequest, o mesh.Outcome) mesh.Outcome {
+	notice := s.readNotice(&req.response.Header)
+	o = s.classifyResponse(req, o)
+	if o.Reason == mesh.ReasonMoved || o.Reason == mesh.ReasonLost {
+		return o
+	}
+	o.Notice = notice
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.node.RecordNotice(s.now(), notice)
+	return o
+}
+
+// recordRun reports the end of a run at the local upstream to s.node, and returns the number
+// of requests that ran until then. down is set if the upstream is known to be down.
+func (s *Sidecar) recordRun(ctx context.Context, req *upstreamRequest, work mesh.Work, o mesh.Outcome, down bool) (running int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if o.Reason == mesh.ReasonCrashed {
 		s.node.RecordCrash(now, work)
 	}
 	if o.Kind == mesh.OutcomeAnswered {
 		s.answeredAt = now
 		s.node.RecordCompletion(now, work)
 	}
-	running := s.node.Load().Running
+	running = s.node.Load().Running
 	result := runResult(ctx, o)
 	if req.outOfMemory {
 		result = mesh.RunInconclusive
 	}
 	// A connection attempt that the request's deadline may have cut short says nothing
 	// about the upstream.
-	connectFailed := o.Kind == mesh.OutcomeNotRun && o.Reason == mesh.ReasonUnreachable && req.deadline-started >= dialTimeout
+	connectFailed := o.Kind == mesh.OutcomeNotRun && o.Reason == mesh.ReasonUnreachable && req.deadline-work.Started >= dialTimeout
 	if down || connectFailed {
 		result = mesh.RunUnreachable
 	}
-	s.node.WorkDone(now, work, now-started, result)
+	s.node.WorkDone(now, work, now-work.Started, result)
 	s.dispatchQueuedWork(now)
-	s.mu.Unlock()
-	switch {
-	case crashed:
-		s.logCrash(work, running)
-	case lost:
-		s.logUnexplainedLoss(work, running)
-	}
-	return o
+	return running
 }
 
 func (s *Sidecar) upstreamDown() bool {
