Log the demand and the loads from which admission shares are computed

The log had the share of each route and the use of each service, but not the requests offered, admitted and served at all nodes, nor the load per request that the plan assumed.

A line "entry demand" goes with "entry shares", once a second while a share is below 1; three gauges hold the rates by route. No decision changes.

--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -43,8 +43,10 @@
 	requestLoads map[rootServiceKey]*smoothedValue
 	visits       map[rootServiceKey]*smoothedValue
 	// services is the view of each service as of the last plan.
-	services   map[string]*serviceView
-	lastPlanAt time.Duration
+	services map[string]*serviceView
+	// fleetDemand is the demand at all nodes as of the last plan.
+	fleetDemand []fleetDemand
+	lastPlanAt  time.Duration
 }
 
 type rootServiceKey struct {
@@ -118,9 +120,9 @@
 	n.usage.endInterval(now)
 	n.faults.endInterval()
 	n.admission.services = n.viewServices(now)
-	total := n.viewDemand(now)
-	n.admission.updateLoads(total)
-	n.admission.setShares(total)
+	n.admission.fleetDemand = n.viewDemand(now)
+	n.admission.updateLoads(n.admission.fleetDemand)
+	n.admission.setShares(n.admission.fleetDemand)
 	n.nearCapacity = n.admission.nearCapacity()
 	n.recordPeerChanges(now)
 }
--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -18,8 +18,24 @@
 type ShareReport struct {
 	Route uint32
 	Share float64
-	// Offered is the rate of requests at this node, per second.
-	Offered float64
+}
+
+// DemandReport is the demand of callers for one route at all nodes as of the last plan, with
+// the loads from which the plan computed the route's share.
+type DemandReport struct {
+	Route uint32
+	// Offered is the rate of all requests, Admitted of those admitted, and Served of those
+	// that succeeded, per second.
+	Offered, Admitted, Served float64
+	// Loads holds the services that the requests use, sorted by name.
+	Loads []LoadReport
+}
+
+// LoadReport is the load of a service per request of a route: the mean number of slots that
+// one request per second keeps in use.
+type LoadReport struct {
+	Service string
+	Load    float64
 }
 
 // PlanReport returns the inputs and results of the last plan. Routes with a share of 1
@@ -34,7 +50,7 @@
 	}
 	for id, d := range n.admission.demand {
 		if d.share < 1 {
-			shares = append(shares, ShareReport{Route: id, Share: d.share, Offered: d.offeredRate})
+			shares = append(shares, ShareReport{Route: id, Share: d.share})
 		}
 	}
 	slices.SortFunc(services, func(a, b ServiceReport) int { return cmp.Compare(a.Service, b.Service) })
@@ -42,6 +58,31 @@
 	return services, shares
 }
 
+// DemandReports returns the demand from which the last plan was made, by falling rate of
+// offered requests. Routes that are hardly used are omitted.
+func (n *Node) DemandReports() (out []DemandReport) {
+	for _, d := range n.admission.fleetDemand {
+		if d.offered < minLoadRate {
+			continue
+		}
+		out = append(out, DemandReport{Route: d.root, Offered: d.offered, Admitted: d.admitted, Served: d.served, Loads: n.admission.loadReports(d.root)})
+	}
+	slices.SortFunc(out, func(a, b DemandReport) int {
+		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(a.Route, b.Route))
+	})
+	return out[:min(len(out), maxHeartbeatRoots)]
+}
+
+func (a *admission) loadReports(root uint32) (out []LoadReport) {
+	for name := range a.services {
+		if load := a.requestLoads[rootServiceKey{root, name}].get(); load > 0 {
+			out = append(out, LoadReport{name, load})
+		}
+	}
+	slices.SortFunc(out, func(a, b LoadReport) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
 // RouteName returns the name of the route with this ID in the table in force, empty if
 // there is none.
 func (n *Node) RouteName(id uint32) string {
--- a/node/sidecar/gauges.go
+++ b/node/sidecar/gauges.go
@@ -43,6 +43,12 @@
 	for _, share := range shares {
 		add("shallot_entry_share_ratio", "route", s.node.RouteName(share.Route), share.Share)
 	}
+	for _, d := range s.node.DemandReports() {
+		route := s.node.RouteName(d.Route)
+		add("shallot_fleet_offered_per_second", "route", route, d.Offered)
+		add("shallot_fleet_admitted_per_second", "route", route, d.Admitted)
+		add("shallot_fleet_served_per_second", "route", route, d.Served)
+	}
 	for _, retries := range s.node.RetryReports(now) {
 		add("shallot_repeats_arrived", "service", retries.Service, retries.Arrived)
 		add("shallot_repeats_allowed", "service", retries.Service, retries.Allowed)
--- a/node/sidecar/logs.go
+++ b/node/sidecar/logs.go
@@ -126,11 +126,12 @@
 	s.metrics.RecordRequest(c.Route.Name, strconv.Itoa(status), step.Reason.String(), took)
 }
 
-// logPlan logs the admission shares of the routes and the service loads from which they
-// were computed, if any share is below 1.
+// logPlan logs the admission shares of the routes, and the service loads and the demand from
+// which they were computed, if any share is below 1.
 func (s *Sidecar) logPlan() {
 	s.mu.Lock()
 	services, shares := s.node.PlanReport()
+	demand := s.demandFields()
 	var fields []logging.Field
 	for _, share := range shares {
 		fields = append(fields, field("share_"+s.node.RouteName(share.Route), fmt.Sprintf("%.2f", share.Share)))
@@ -143,4 +144,18 @@
 		fields = append(fields, field("service_"+service.Service, fmt.Sprintf("slots:%.0f,busy:%.1f,backlog:%.1f", service.Slots, service.SlotsInUse, service.Backlog)))
 	}
 	s.log.Log(logging.InfoLevel, "entry shares", fields)
+	s.log.Log(logging.InfoLevel, "entry demand", demand)
+}
+
+// demandFields returns the fields of the log line about the demand for each route at all
+// nodes. The caller holds s.mu.
+func (s *Sidecar) demandFields() (fields []logging.Field) {
+	for _, d := range s.node.DemandReports() {
+		text := fmt.Sprintf("offered:%.1f,admitted:%.1f,served:%.1f", d.Offered, d.Admitted, d.Served)
+		for _, l := range d.Loads {
+			text += fmt.Sprintf(",load_%s:%.4f", l.Service, l.Load)
+		}
+		fields = append(fields, field("route_"+s.node.RouteName(d.Route), text))
+	}
+	return fields
 }
