--- a/harness/loadpattern/world.go
+++ b/harness/loadpattern/world.go
@@ -79,6 +79,9 @@
 	Demand   []Demand
 	Duration time.Duration
 	Seed     uint64
+	// DataCentres is the number of data centres over which the upstreams of each service
+	// are spread in turn; 0 means one.
+	DataCentres int
 	// RetryRefusedOnce makes callers retry a refused request once, after the time that
 	// the refusal asks for.
 	RetryRefusedOnce bool
@@ -91,6 +94,14 @@
 // answers that took longer than the latency goal; these are in Late.
 type Result struct{ Offered, Served, Late, Refused, Failed int }
 
+// AnsweredRatio returns the ratio of requests that were served, in time or late.
+func (r Result) AnsweredRatio() float64 { return float64(r.Served+r.Late) / float64(max(r.Offered, 1)) }
+
+// Add returns the sum of two results.
+func (r Result) Add(o Result) Result {
+	return Result{r.Offered + o.Offered, r.Served + o.Served, r.Late + o.Late, r.Refused + o.Refused, r.Failed + o.Failed}
+}
+
 // ServedRatio returns the ratio of requests that were served in time.
 func (r Result) ServedRatio() float64 { return float64(r.Served) / float64(max(r.Offered, 1)) }
 
@@ -105,7 +116,7 @@
 	nodes     []*node
 	nodesByIP map[string]*node
 	lastID    int
-	results   map[string]*Result
+	results   map[Origin]*Result
 	// firstRuns and retries hold, by service, the times at which first runs and
 	// retries arrived at its upstreams.
 	firstRuns, retries map[string][]time.Duration
@@ -114,15 +125,19 @@
 	seenCalls map[string]bool
 }
 
+// Origin is where requests of one class enter.
+type Origin struct{ Class, DataCentre string }
+
 // node is one instance: a mesh.Node and its upstream.
 type node struct {
-	w         *world
-	ip        string
-	mesh      *mesh.Node
-	speed     float64
-	shedRatio float64
-	notice    mesh.Notice
-	service   *Service
+	w          *world
+	ip         string
+	dataCentre string
+	mesh       *mesh.Node
+	speed      float64
+	shedRatio  float64
+	notice     mesh.Notice
+	service    *Service
 	// startedRuns holds the times at which runs started at the upstream.
 	startedRuns []time.Duration
 	// pendingWork holds, by work ID, the function that applies the decision on each
@@ -141,6 +156,17 @@
 	return results
 }
 
+// RunByOrigin runs a simulation and returns the results of callers by class and by the data
+// centre in which their requests entered.
+func RunByOrigin(spec Spec) map[Origin]Result {
+	_, w := simulate(spec)
+	results := map[Origin]Result{}
+	for origin, r := range w.results {
+		results[origin] = *r
+	}
+	return results
+}
+
 // ExcessRetries runs a simulation and returns the largest excess of retries over
 // the retry bound, of any service and any window; a negative value means that the
 // bound was kept. Each window ends just before a retry, so that none extends
@@ -191,12 +217,14 @@
 func simulate(spec Spec) (map[string]Result, *world) {
 	w := &world{
 		spec: spec, random: rand.New(rand.NewPCG(spec.Seed, 3)),
-		classes: map[string]*Class{}, nodesByIP: map[string]*node{}, results: map[string]*Result{},
+		classes: map[string]*Class{}, nodesByIP: map[string]*node{}, results: map[Origin]*Result{},
 		firstRuns: map[string][]time.Duration{}, retries: map[string][]time.Duration{}, seenCalls: map[string]bool{},
 	}
 	w.buildNodes()
 	for _, d := range spec.Demand {
-		w.results[d.Class] = &Result{}
+		for i := range max(spec.DataCentres, 1) {
+			w.results[Origin{d.Class, dataCentreName(i)}] = &Result{}
+		}
 		w.scheduleNextRequest(d)
 	}
 	w.exchangeHeartbeats()
@@ -206,12 +234,15 @@
 		e.action()
 	}
 	byClass := map[string]Result{}
-	for name, r := range w.results {
-		byClass[name] = *r
+	for origin, r := range w.results {
+		byClass[origin.Class] = byClass[origin.Class].Add(*r)
 	}
 	return byClass, w
 }
 
+// dataCentreName returns the name of a data centre by its number.
+func dataCentreName(i int) string { return string(rune('a' + i)) }
+
 // buildNodes creates all nodes, with the same route table and registry in each.
 func (w *world) buildNodes() {
 	table := &route.Table{Version: 1, Services: map[string]route.Service{}}
@@ -228,7 +259,8 @@
 	for _, s := range w.spec.Services {
 		for i := range s.UpstreamCount {
 			ip := fmt.Sprintf("10.0.%d.%d", len(w.nodes)/250, len(w.nodes)%250+1)
-			n := &node{w: w, ip: ip, speed: 1, service: &s, pendingWork: map[uint64]func(concurrency.Decision){}}
+			dataCentre := dataCentreName(i % max(w.spec.DataCentres, 1))
+			n := &node{w: w, ip: ip, dataCentre: dataCentre, speed: 1, service: &s, pendingWork: map[uint64]func(concurrency.Decision){}}
 			if len(s.Speeds) > 0 {
 				n.speed = s.Speeds[i%len(s.Speeds)]
 			}
@@ -240,12 +272,12 @@
 				n.notice = mesh.Notice{RateLimit: limit, Limited: limit > 0}
 			}
 			n.mesh = mesh.New(mesh.Config{
-				Instance: ip, Incarnation: 1, Service: s.Name, DataCentre: "a", Seed: w.spec.Seed + uint64(len(w.nodes)),
+				Instance: ip, Incarnation: 1, Service: s.Name, DataCentre: dataCentre, Seed: w.spec.Seed + uint64(len(w.nodes)),
 				RetryBounds: retryBounds,
 			})
 			w.nodes, w.nodesByIP[ip] = append(w.nodes, n), n
 			entries = append(entries, registry.Change{ID: ip, Revision: 1, Upstream: &registry.Upstream{
-				ID: ip, Service: s.Name, Address: ip + ":80", Instance: ip, DataCentre: "a", Slots: s.Slots, Revision: 1,
+				ID: ip, Service: s.Name, Address: ip + ":80", Instance: ip, DataCentre: dataCentre, Slots: s.Slots, Revision: 1,
 			}})
 		}
 	}
@@ -289,8 +321,9 @@
 		return
 	}
 	w.schedule(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		w.results[d.Class].Offered++
-		w.sendRequest(d.Class, w.nodes[w.random.IntN(len(w.nodes))], w.now, w.newID(), w.spec.RetryRefusedOnce)
+		n := w.nodes[w.random.IntN(len(w.nodes))]
+		w.results[Origin{d.Class, n.dataCentre}].Offered++
+		w.sendRequest(d.Class, n, w.now, w.newID(), w.spec.RetryRefusedOnce)
 		w.scheduleNextRequest(d)
 	})
 }
@@ -298,7 +331,7 @@
 // sendRequest sends a caller's request to n. firstSent is the time at which the
 // caller first sent it; retry allows one more send after a refusal.
 func (w *world) sendRequest(class string, n *node, firstSent time.Duration, path string, retry bool) {
-	c, r := w.classes[class], w.results[class]
+	c, r := w.classes[class], w.results[Origin{class, n.dataCentre}]
 	n.startCall(c, w.newID(), path, "", 0, func(step mesh.Step, ok bool) {
 		switch {
 		case ok && w.now-firstSent <= c.LatencyGoal:
