Smooth the load of requests and their number apart, not their ratio

Cause (hypothesis 3): the load per request is the slots in use divided by the admitted requests of the same interval. When fewer are admitted, those admitted before still hold their slots. Each such interval counted as much as any other. The requests refused for it keep the rate low, and with it the estimate high.

Change: the amount and the number are smoothed each, so an interval counts by its requests.

TestLoadIsNotOverestimatedWhenAdmissionsFall failed before: 1.20 where 0.5 is true.

--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -40,8 +40,8 @@
 	// requestLoads holds, for each root route and service, the load per request: the
 	// mean number of slots that one request per second keeps in use. visits holds the
 	// number of runs at the service per request.
-	requestLoads map[rootServiceKey]*smoothedValue
-	visits       map[rootServiceKey]*smoothedValue
+	requestLoads map[rootServiceKey]*smoothedRatio
+	visits       map[rootServiceKey]*smoothedRatio
 	// services is the view of each service as of the last plan.
 	services map[string]*serviceView
 	// fleetDemand is the demand at all nodes as of the last plan.
@@ -56,7 +56,7 @@
 
 func newAdmission() admission {
 	return admission{
-		demand: map[uint32]*routeDemand{}, requestLoads: map[rootServiceKey]*smoothedValue{}, visits: map[rootServiceKey]*smoothedValue{},
+		demand: map[uint32]*routeDemand{}, requestLoads: map[rootServiceKey]*smoothedRatio{}, visits: map[rootServiceKey]*smoothedRatio{},
 		services: map[string]*serviceView{},
 	}
 }
--- a/core/mesh/admission_test.go
+++ b/core/mesh/admission_test.go
@@ -57,3 +57,33 @@
 		t.Errorf("%d of 100 admitted after service b returned, want at least 90", got)
 	}
 }
+
+// TestLoadIsNotOverestimatedWhenAdmissionsFall guards against requests that are refused
+// because their load is overestimated: when fewer are admitted, those admitted before still
+// hold their slots.
+func TestLoadIsNotOverestimatedWhenAdmissionsFall(t *testing.T) {
+	const load, steady = 0.5, 100.0
+	nodes := newFleet(t, testRoute("a", true))
+	n, root := nodes[0], RouteID(testRoute("a", true))
+	other := nodes[1].cfg
+	now, slotsInUse, admitted := time.Duration(0), load*steady, steady
+	for i := range 60 {
+		if i >= 30 {
+			slotsInUse, admitted = max(slotsInUse*0.75, load*steady/20), steady/20
+		}
+		now += HeartbeatInterval
+		n.ReceiveHeartbeat(now, other.Instance, Heartbeat{
+			Incarnation: 1, Service: other.Service, Load: Load{Limit: 90},
+			Roots:  []RootStat{{Root: root, SlotsInUse: float32(slotsInUse), RunRate: float32(admitted)}},
+			Demand: []DemandStat{{Root: root, Offered: steady, Admitted: float32(admitted), Served: float32(admitted)}},
+		})
+		n.UpdatePlan(now)
+		for _, d := range n.DemandReports() {
+			for _, l := range d.Loads {
+				if l.Load > 1.5*load {
+					t.Fatalf("load %.2f per request after %v, want at most half more than %.2f", l.Load, now, load)
+				}
+			}
+		}
+	}
+}
--- a/core/mesh/loads.go
+++ b/core/mesh/loads.go
@@ -41,41 +41,44 @@
 			}
 			complete := d.served >= minServedShare*d.admitted
 			if d.admitted >= minLoadRate {
-				observe(a.requestLoads, key, v.slotsInUse[d.root]/d.admitted, complete)
+				observe(a.requestLoads, key, v.slotsInUse[d.root], d.admitted, complete)
 			}
-			observe(a.visits, key, v.runRates[d.root]/d.admitted, complete)
+			observe(a.visits, key, v.runRates[d.root], d.admitted, complete)
 		}
 	}
 }
 
-// smoothedValue is an exponentially smoothed value. The first observations have a
+// smoothedRatio is the ratio of two exponentially smoothed rates. Smoothing each of them, and
+// not their ratio, keeps an interval in which hardly any requests are admitted, while those
+// admitted before still run, from counting as much as others. The first observations have a
 // larger weight, because those made just after a start cover only a part of the work.
-type smoothedValue struct {
-	value   float64
-	samples int
+type smoothedRatio struct {
+	amount, requests float64
+	samples          int
 }
 
-// get returns the value, 0 if there are no observations.
-func (s *smoothedValue) get() float64 {
-	if s == nil {
+// get returns the ratio, 0 if there are no observations.
+func (s *smoothedRatio) get() float64 {
+	if s == nil || s.requests == 0 {
 		return 0
 	}
-	return s.value
+	return s.amount / s.requests
 }
 
-// observe adds one observation. complete states that most requests succeeded. Failed
-// requests make fewer calls, so that the load observed with them is only a lower
-// bound.
-func observe(values map[rootServiceKey]*smoothedValue, key rootServiceKey, value float64, complete bool) {
+// observe adds one observation: an amount that a rate of admitted requests caused. complete
+// states that most requests succeeded. Failed requests make fewer calls, so that the amount
+// observed with them is only a lower bound.
+func observe(values map[rootServiceKey]*smoothedRatio, key rootServiceKey, amount, requests float64, complete bool) {
 	s := values[key]
 	if s == nil {
-		s = &smoothedValue{}
+		s = &smoothedRatio{}
 		values[key] = s
 	}
 	weight := max(loadWeight, firstWeight-loadWeight*float64(s.samples)/2)
-	if !complete && value < s.value {
+	if !complete && amount < s.get()*requests {
 		weight = partialLoadWeight
 	}
-	s.value += weight * (value - s.value)
+	s.amount += weight * (amount - s.amount)
+	s.requests += weight * (requests - s.requests)
 	s.samples++
 }
