Let returning requests take no more credit than others leave

Cause: a request that came back after a refusal was admitted down to a credit of -3 on each node and route. With nearly half of the sends coming back, the credit stays there, and when the share rises new requests first pay it back: at 21.2 s a share of 0.89 of 699 bookings a second, 393 admitted. A route whose share is back to 1 refused as well, until the credit was paid back.

Change: requests that come back are admitted from a credit of 0, others from 1, so they still come first; a share of 1 refuses nobody.

TestReturningRequestsDoNotShutOutLaterOnes failed before (5 of 10 admitted at a share of 0.9).

--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -88,7 +88,7 @@
 	d.credit = min(d.credit+d.share, maxCredit)
 	minCredit := 1.0
 	if c.CallerRetry {
-		minCredit = -maxCreditDebt
+		minCredit = minReturnCredit
 	}
 	if d.credit < minCredit {
 		return false
--- a/core/mesh/admission_test.go
+++ b/core/mesh/admission_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/shallotspool/shallotspool/core/route"
 )
 
 // TestNoAdmissionForSilentService checks that requests that lead to a service whose
@@ -87,3 +89,32 @@
 		}
 	}
 }
+
+// admitMany sends requests of different content and returns how many are admitted.
+func admitMany(n *Node, r *route.Route, count int, first uint64) (admitted int) {
+	for i := range count {
+		c, step := n.StartCall(0, IncomingRequest{ID: "r", Host: "h", Path: r.Prefix + "1", Fingerprint: first + uint64(i)})
+		if step.Kind != StepSend {
+			continue
+		}
+		admitted++
+		n.AbandonCall(0, c)
+	}
+	return admitted
+}
+
+// TestReturningRequestsDoNotShutOutLaterOnes guards against new requests that are refused
+// although there is room again, because those that came back after a refusal used up the
+// admissions of the next seconds.
+func TestReturningRequestsDoNotShutOutLaterOnes(t *testing.T) {
+	r := testRoute("a", true)
+	n := newFleet(t, r)[0]
+	d := n.admission.demandFor(RouteID(r), r)
+	d.share, d.credit = 0.01, 0
+	admitMany(n, r, 50, 1)
+	admitMany(n, r, 50, 1)
+	d.share = 0.9
+	if admitted := admitMany(n, r, 10, 1000); admitted < 7 {
+		t.Errorf("%d of 10 new requests admitted at a share of 0.9, want at least 7", admitted)
+	}
+}
--- a/core/mesh/doc.go
+++ b/core/mesh/doc.go
@@ -64,7 +64,7 @@
 //   - root: the route of the caller's request, also for all calls made for that request.
 //   - rank: the order of requests: priority (0 first), then age since entry.
 //   - share: the fraction of a route's requests that is admitted, unless named otherwise.
-//   - credit: the admissions that a route has saved up; below 0 after callers' retries.
+//   - credit: the admissions that a route has saved up; below 0 after a caller's retry.
 //   - slot: room for one running request at an upstream.
 //   - load: the running and queued requests at an upstream and its limit. Load per
 //     request: the mean number of slots that one request per second keeps in use.
--- a/core/mesh/refusals.go
+++ b/core/mesh/refusals.go
@@ -10,9 +10,9 @@
 	refusalMemory = 10 * time.Second
 	// maxRefusals bounds the refused requests that are remembered.
 	maxRefusals = 16384
-	// maxCreditDebt is the debt up to which a route without credit still admits
-	// callers' retries. Each of them takes 1 from the credit of the route.
-	maxCreditDebt = 3
+	// minReturnCredit is the credit of a route from which it admits callers' retries. It is
+	// below the credit that other requests need, so that retries come first.
+	minReturnCredit = 0
 )
 
 // refusals remembers requests that were refused admission, so that callers who retry
--- a/core/mesh/shares.go
+++ b/core/mesh/shares.go
@@ -33,6 +33,9 @@
 		if share, known := shares[root]; known {
 			d.share = max(share, minShare)
 		}
+		if d.share >= 1 {
+			d.credit = max(d.credit, 1)
+		}
 	}
 }
 
