Give every route a minimum of the capacity that it shares

Not one calendar in ten was admitted, for 18 s.

Cause (hypothesis 1): the plan gives a service's slots to the most important routes until they are used up, at any load. What is left for the others is a share of 0.01 that only keeps their load known. Class of fault: an order of precedence without a bound on what it may cost those behind.

Change: the plan first gives each route 0.3 of the part of all requests that is admitted, counted in requests and not in sends, so that callers who repeat at once do not get more. The rest goes in order of priority as before. At a service that lacks room even for the minimum of all, all get the same part of it. It holds for every route, also among equals, where the one that uses less came first. A quarter is what is asked; 0.3 leaves room for requests that fail after admission.

--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -23,10 +23,11 @@
 type routeDemand struct {
 	priority   int
 	idempotent bool
-	// offered, admitted and served count requests in the current interval. The rates
-	// are smoothed and in requests per second.
-	offered, admitted, served             int
-	offeredRate, admittedRate, servedRate float64
+	// offered, returned, admitted and served count requests in the current interval;
+	// returned are those offered that were refused before. The rates are smoothed and in
+	// requests per second.
+	offered, returned, admitted, served                 int
+	offeredRate, returnedRate, admittedRate, servedRate float64
 	// share is the fraction of the requests that is admitted. Each request adds share
 	// to credit, and each admission takes 1 from it.
 	share  float64
@@ -88,6 +89,7 @@
 	d.credit = min(d.credit+d.share, maxCredit)
 	minCredit := 1.0
 	if c.CallerRetry {
+		d.returned++
 		minCredit = minReturnCredit
 	}
 	if d.credit < minCredit {
@@ -110,9 +112,10 @@
 	n.admission.lastPlanAt = now
 	for root, d := range n.admission.demand {
 		d.offeredRate += rateWeight * (float64(d.offered)/elapsed - d.offeredRate)
+		d.returnedRate += rateWeight * (float64(d.returned)/elapsed - d.returnedRate)
 		d.admittedRate += rateWeight * (float64(d.admitted)/elapsed - d.admittedRate)
 		d.servedRate += rateWeight * (float64(d.served)/elapsed - d.servedRate)
-		d.offered, d.admitted, d.served = 0, 0, 0
+		d.offered, d.returned, d.admitted, d.served = 0, 0, 0, 0
 		if d.offeredRate < minTrackedRate {
 			delete(n.admission.demand, root)
 		}
@@ -154,7 +157,7 @@
 	for root, d := range a.demand {
 		out = append(out, DemandStat{
 			Root: root, Priority: int32(d.priority), Idempotent: d.idempotent, Offered: float32(d.offeredRate), Admitted: float32(d.admittedRate),
-			Served: float32(d.servedRate),
+			Served: float32(d.servedRate), Returned: float32(d.returnedRate),
 		})
 	}
 	slices.SortFunc(out, func(x, y DemandStat) int {
--- a/core/mesh/service_view.go
+++ b/core/mesh/service_view.go
@@ -100,10 +100,10 @@
 // fleetDemand is the demand of callers at all nodes for one route. The rates are in
 // requests per second.
 type fleetDemand struct {
-	root                      uint32
-	priority                  int
-	idempotent                bool
-	offered, admitted, served float64
+	root                                uint32
+	priority                            int
+	idempotent                          bool
+	offered, admitted, served, returned float64
 }
 
 // viewDemand aggregates the demand reported by all nodes by route, the most important
@@ -124,6 +124,7 @@
 			d.offered += float64(s.Offered)
 			d.admitted += float64(s.Admitted)
 			d.served += float64(s.Served)
+			d.returned += float64(s.Returned)
 		}
 	}
 	list := make([]fleetDemand, 0, len(sums))
--- a/core/mesh/shares.go
+++ b/core/mesh/shares.go
@@ -14,19 +14,16 @@
 )
 
 // setShares sets the share of each route's requests for which every service it uses
-// has capacity after the more important routes are served. At equal priority, routes
-// with a smaller dominant share come first, because this serves the most callers.
+// has capacity after the more important routes and the minimum of all routes are served. At
+// equal priority, routes with a smaller dominant share come first, because this serves the
+// most callers.
 func (a *admission) setShares(demand []fleetDemand) {
-	free := map[string]freeSlots{}
-	for name, view := range a.services {
-		free[name] = freeSlots{reliable: targetUtilisation*view.slots - view.backlog, bestEffortOnly: targetUtilisation * (view.bestEffortSlots - view.slots)}
-	}
 	slices.SortStableFunc(demand, func(x, y fleetDemand) int {
 		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(a.dominantShare(x.root), a.dominantShare(y.root)))
 	})
-	shares := map[uint32]float64{}
-	for _, d := range demand {
-		shares[d.root] = a.fitShare(d, free)
+	shares := a.planShares(demand, 0)
+	for range minimumRounds {
+		shares = a.planShares(demand, minAdmittedOfMean*meanAdmitted(demand, shares))
 	}
 	for root, d := range a.demand {
 		d.share = 1
@@ -39,12 +36,32 @@
 	}
 }
 
-// fitShare returns the share of d that fits into the free slots and deducts those
-// slots. A service without a current heartbeat imposes no limit, for example before the
-// first one or while all its upstreams are ejected or draining. A service whose
-// upstreams are all silent has no free slots.
+// planShares returns the shares of all routes if each of them gets the given part of its
+// requests before the more important ones get the rest.
+func (a *admission) planShares(demand []fleetDemand, part float64) map[uint32]float64 {
+	free := map[string]freeSlots{}
+	for name, view := range a.services {
+		free[name] = freeSlots{reliable: targetUtilisation*view.slots - view.backlog, bestEffortOnly: targetUtilisation * (view.bestEffortSlots - view.slots)}
+	}
+	minimums := a.minimumShares(demand, free, part)
+	for _, d := range demand {
+		a.deduct(d, minimums[d.root], free)
+	}
+	shares := map[uint32]float64{}
+	for _, d := range demand {
+		rest := min(a.fitShare(d, free), 1-minimums[d.root])
+		a.deduct(d, rest, free)
+		shares[d.root] = minimums[d.root] + rest
+	}
+	return shares
+}
+
+// fitShare returns the share of d that fits into the free slots. A service without a
+// current heartbeat imposes no limit, for example before the first one or while all its
+// upstreams are ejected or draining. A service whose upstreams are all silent has no free
+// slots.
 func (a *admission) fitShare(d fleetDemand, free map[string]freeSlots) float64 {
-	bestEffort := a.runsAtOneService(d.root) || d.idempotent && a.successProbability(d.root) >= minSuccessProbability
+	bestEffort := a.usesBestEffort(d)
 	share := 1.0
 	for name, view := range a.services {
 		required := d.offered * a.requestLoads[rootServiceKey{d.root, name}].get()
@@ -52,10 +69,21 @@
 			share = min(share, max(free[name].available(bestEffort)/required, 0))
 		}
 	}
+	return share
+}
+
+// deduct takes the slots for a share of d from the free ones.
+func (a *admission) deduct(d fleetDemand, share float64, free map[string]freeSlots) {
+	bestEffort := a.usesBestEffort(d)
 	for name := range a.services {
 		free[name] = free[name].without(share*d.offered*a.requestLoads[rootServiceKey{d.root, name}].get(), bestEffort)
 	}
-	return share
+}
+
+// usesBestEffort reports whether the requests of a route may use the slots of faulty
+// upstreams.
+func (a *admission) usesBestEffort(d fleetDemand) bool {
+	return a.runsAtOneService(d.root) || d.idempotent && a.successProbability(d.root) >= minSuccessProbability
 }
 
 // successProbability returns the probability that a request succeeds if none of its
@@ -115,6 +143,5 @@
 	return largest
 }
 
-// minShare is the minimum share that is admitted at any load, so that the load per
-// request remains known.
+// minShare is the least share that is admitted, so that the load per request remains known.
 const minShare = 0.01
