Give the minimum of a route the highest priority at upstreams

Same class of fault as in the plan, in the place where its decision is carried out.

Change: an admitted request that belongs to the minimum of its route gets the highest priority, which its calls inherit, so the oldest go first among them and the bookings. The rest of a route's requests keeps its priority. While a route's share is 1 nothing changes.

--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -32,6 +32,10 @@
 	// to credit, and each admission takes 1 from it.
 	share  float64
 	credit float64
+	// minimum is the part of share that is admitted in any case. Each request adds it to
+	// minimumCredit, and each admission that claims it takes 1.
+	minimum       float64
+	minimumCredit float64
 }
 
 // admission decides which requests of callers are admitted: as many as the services
@@ -87,6 +91,7 @@
 	}
 	d.offered++
 	d.credit = min(d.credit+d.share, maxCredit)
+	d.minimumCredit = min(d.minimumCredit+d.minimum, maxCredit)
 	minCredit := 1.0
 	if c.CallerRetry {
 		d.returned++
@@ -98,6 +103,9 @@
 	d.credit--
 	d.admitted++
 	c.demand = d
+	if d.claimMinimum() {
+		c.Rank.Priority = highestPriority
+	}
 	return true
 }
 
--- a/core/mesh/doc.go
+++ b/core/mesh/doc.go
@@ -15,7 +15,8 @@
 // waits, AbandonCall ends the call instead.
 //
 // At the node beside the chosen upstream, OfferWork lets the request run, queues it by
-// rank, or refuses it. NextWork and ExpireWork decide on queued ones. WorkDone or
+// rank, or refuses it. Requests that are admitted as the minimum of their route have the
+// highest priority there. NextWork and ExpireWork decide on queued ones. WorkDone or
 // WorkRefused ends it.
 //
 // An upstream may name a limit in its answers, in requests per second from all instances
@@ -35,7 +36,8 @@
 // times, use and demand. Once per HeartbeatInterval, UpdatePlan derives from them:
 //   - Shares. The use of slots divided by the admitted demand is the load per request.
 //     From it each node computes the same way which share of each route's demand fits
-//     into the slots of all services, the most important routes first.
+//     into the slots of all services: first the minimum of every route, a part of what is
+//     admitted of all requests, then the most important routes.
 //   - Bounds on retries. A node may make a part of the retries allowed at a service, in
 //     proportion to the requests it sends there, and its part of the slack. Induced
 //     retries are charged too. When the retries that all nodes of a service report come
@@ -64,6 +66,8 @@
 //   - root: the route of the caller's request, also for all calls made for that request.
 //   - rank: the order of requests: priority (0 first), then age since entry.
 //   - share: the fraction of a route's requests that is admitted, unless named otherwise.
+//   - minimum: the part of a route's share that it gets before more important routes get
+//     the rest.
 //   - credit: the admissions that a route has saved up; below 0 after a caller's retry.
 //   - slot: room for one running request at an upstream.
 //   - load: the running and queued requests at an upstream and its limit. Load per
--- a/core/mesh/minimum.go
+++ b/core/mesh/minimum.go
@@ -8,6 +8,8 @@
 	// minimumRounds is the number of times that the plan is computed again with the minimum
 	// that follows from the mean of the plan before. The minimum changes the mean little.
 	minimumRounds = 2
+	// highestPriority is the priority of the most important requests.
+	highestPriority = 0
 )
 
 // requests returns the rate of callers' requests, each counted once however often its caller
@@ -52,3 +54,14 @@
 	}
 	return minimums
 }
+
+// claimMinimum reports whether an admitted request belongs to the minimum of its route. It
+// then has the highest priority at all upstreams: the others would otherwise keep it waiting
+// until it fails, however small its part is.
+func (d *routeDemand) claimMinimum() bool {
+	if d.share >= 1 || d.minimumCredit < 1 {
+		return false
+	}
+	d.minimumCredit--
+	return true
+}
--- a/core/mesh/shares.go
+++ b/core/mesh/shares.go
@@ -21,14 +21,14 @@
 	slices.SortStableFunc(demand, func(x, y fleetDemand) int {
 		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(a.dominantShare(x.root), a.dominantShare(y.root)))
 	})
-	shares := a.planShares(demand, 0)
+	shares, minimums := a.planShares(demand, 0)
 	for range minimumRounds {
-		shares = a.planShares(demand, minAdmittedOfMean*meanAdmitted(demand, shares))
+		shares, minimums = a.planShares(demand, minAdmittedOfMean*meanAdmitted(demand, shares))
 	}
 	for root, d := range a.demand {
-		d.share = 1
+		d.share, d.minimum = 1, 0
 		if share, known := shares[root]; known {
-			d.share = max(share, minShare)
+			d.share, d.minimum = max(share, minShare), minimums[root]
 		}
 		if d.share >= 1 {
 			d.credit = max(d.credit, 1)
@@ -37,23 +37,23 @@
 }
 
 // planShares returns the shares of all routes if each of them gets the given part of its
-// requests before the more important ones get the rest.
-func (a *admission) planShares(demand []fleetDemand, part float64) map[uint32]float64 {
+// requests before the more important ones get the rest, and the shares that this part takes.
+func (a *admission) planShares(demand []fleetDemand, part float64) (shares, minimums map[uint32]float64) {
 	free := map[string]freeSlots{}
 	for name, view := range a.services {
 		free[name] = freeSlots{reliable: targetUtilisation*view.slots - view.backlog, bestEffortOnly: targetUtilisation * (view.bestEffortSlots - view.slots)}
 	}
-	minimums := a.minimumShares(demand, free, part)
+	minimums = a.minimumShares(demand, free, part)
 	for _, d := range demand {
 		a.deduct(d, minimums[d.root], free)
 	}
-	shares := map[uint32]float64{}
+	shares = map[uint32]float64{}
 	for _, d := range demand {
 		rest := min(a.fitShare(d, free), 1-minimums[d.root])
 		a.deduct(d, rest, free)
 		shares[d.root] = minimums[d.root] + rest
 	}
-	return shares
+	return shares, minimums
 }
 
 // fitShare returns the share of d that fits into the free slots. A service without a
