--- a/node/sidecar/requests_test.go
+++ b/node/sidecar/requests_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -459,3 +460,64 @@
 	_, _ = io.WriteString(conn, "\x00\x01garbage")
 	_ = conn.Close()
 }
+
+// acceptedConns is a listener that keeps the connections it has accepted, so that a test can
+// end them all, as the end of a process does.
+type acceptedConns struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *acceptedConns) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, conn)
+		l.mu.Unlock()
+	}
+	return conn, err
+}
+
+// end resets all connections accepted so far.
+func (l *acceptedConns) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.conns {
+		resetConn(conn)
+	}
+	l.conns = nil
+}
+
+// TestLoneCrasherIsBlockedBehindListener guards against a request that goes on crashing
+// upstreams behind listeners that outlive them, because no other request's connection shows
+// that the process ended.
+func TestLoneCrasherIsBlockedBehindListener(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep, "deep/"+secondDeep)
+	var runs atomic.Int32
+	for _, ip := range []string{deep, secondDeep} {
+		u := f.upstreams[ip]
+		_ = u.server.Shutdown()
+		ln, err := net.Listen("tcp", f.address(ip, upstreamPort))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns := &acceptedConns{Listener: ln}
+		t.Cleanup(func() { _ = ln.Close() })
+		u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true}
+		go func() { _ = u.server.Serve(conns) }()
+		u.setResponse(func(*fasthttp.RequestCtx) {
+			runs.Add(1)
+			conns.end()
+		})
+	}
+	c := f.caller(front)
+	for i := range 30 {
+		c.request("GET", "/read/deadly", fmt.Sprint("d", i))
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := runs.Load(); got > 3 {
+		t.Errorf("the request ran at %d crashes, want at most 3", got)
+	}
+}
