--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -158,21 +159,29 @@
 // tracked.
 const minTrackedRate = 0.001
 
-// stats returns the demand at this node for its heartbeat: the maxHeartbeatRoots routes
+// stats returns the demand at this node for its heartbeat: the MaxHeartbeatRoutes routes
 // with the highest rates of offered requests, sorted by falling rate.
 func (a *admission) stats() []DemandStat {
 	out := make([]DemandStat, 0, len(a.demand))
 	for root, d := range a.demand {
 		out = append(out, DemandStat{
 			Root: root, Priority: int32(d.priority), Idempotent: d.idempotent, Offered: float32(d.offeredRate), Admitted: float32(d.admittedRate),
-			Served: float32(d.servedRate), Returned: float32(d.returnedRate),
+			Served: float32(d.servedRate), ReturnedPercent: d.returnedPercent(),
 		})
 	}
 	slices.SortFunc(out, func(x, y DemandStat) int {
 		return cmp.Or(cmp.Compare(y.Offered, x.Offered), cmp.Compare(x.Root, y.Root))
 	})
-	return out[:min(len(out), maxHeartbeatRoots)]
+	return out[:min(len(out), MaxHeartbeatRoutes)]
 }
 
-// maxHeartbeatRoots bounds the routes in one heartbeat, so that it fits in a datagram.
-const maxHeartbeatRoots = 24
+// returnedPercent returns the part of the offered requests that came back, in percent.
+func (d *routeDemand) returnedPercent() uint8 {
+	if d.offeredRate <= 0 {
+		return 0
+	}
+	return uint8(math.Round(100 * min(d.returnedRate/d.offeredRate, 1)))
+}
+
+// MaxHeartbeatRoutes bounds the routes of each list in one heartbeat, so that it fits in a datagram.
+const MaxHeartbeatRoutes = 22
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -101,13 +101,14 @@
 	// Idempotent is set if the route is idempotent, so that its requests may run more
 	// than once.
 	Idempotent bool
-	// Offered is the rate of all requests, Admitted of those admitted, Served of those
-	// that succeeded, and Returned of those that were refused before and sent again, per
-	// second.
+	// Offered is the rate of all requests, Admitted of those admitted, and Served of
+	// those that succeeded, per second.
 	Offered  float32
 	Admitted float32
 	Served   float32
-	Returned float32
+	// ReturnedPercent is the part of the offered requests that were refused before and sent
+	// again, in percent.
+	ReturnedPercent uint8
 }
 
 // RouteID returns the hash that identifies a route in messages between nodes.
--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -70,7 +70,7 @@
 	slices.SortFunc(out, func(a, b DemandReport) int {
 		return cmp.Or(cmp.Compare(b.Offered, a.Offered), cmp.Compare(a.Route, b.Route))
 	})
-	return out[:min(len(out), maxHeartbeatRoots)]
+	return out[:min(len(out), MaxHeartbeatRoutes)]
 }
 
 func (a *admission) loadReports(root uint32) (out []LoadReport) {
--- a/core/mesh/service_view.go
+++ b/core/mesh/service_view.go
@@ -124,7 +124,7 @@
 			d.offered += float64(s.Offered)
 			d.admitted += float64(s.Admitted)
 			d.served += float64(s.Served)
-			d.returned += float64(s.Returned)
+			d.returned += float64(s.Offered) * float64(s.ReturnedPercent) / 100
 		}
 	}
 	list := make([]fleetDemand, 0, len(sums))
--- a/core/mesh/usage.go
+++ b/core/mesh/usage.go
@@ -97,5 +97,5 @@
 	slices.SortFunc(out, func(a, b RootStat) int {
 		return cmp.Or(cmp.Compare(b.SlotsInUse, a.SlotsInUse), cmp.Compare(a.Root, b.Root))
 	})
-	return out[:min(len(out), maxHeartbeatRoots)]
+	return out[:min(len(out), MaxHeartbeatRoutes)]
 }
