Tell requests that come back from those of other callers

Change: a refused request is recognised by its content and the address of its sender, and at most half of a route's sends count as sent again. Open: callers behind one address that send the same content and do not return count as half of what they are.

Result: the test passes, also with all callers behind one address that return.

--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -15,6 +15,8 @@
 	// Fingerprint is a hash of the content of the request. It is the same for all sends
 	// of one request.
 	Fingerprint uint64
+	// Sender is the IP address of the sender, empty if it is not known.
+	Sender string
 	// Parent is the ID of the request on whose behalf this one may be made.
 	Parent string
 	// Timeout is the time for which the sender still waits for an answer, 0 if it did
--- a/core/mesh/minimum.go
+++ b/core/mesh/minimum.go
@@ -8,13 +8,18 @@
 	// minimumRounds is the number of times that the plan is computed again with the minimum
 	// that follows from the mean of the plan before. The minimum changes the mean little.
 	minimumRounds = 2
+	// maxReturnedShare is the most of a route's requests that count as sent again. Callers
+	// behind one address that send the same content cannot be told apart.
+	maxReturnedShare = 0.5
 	// highestPriority is the priority of the most important requests.
 	highestPriority = 0
 )
 
 // requests returns the rate of callers' requests, each counted once however often its caller
 // sends it.
-func (d fleetDemand) requests() float64 { return max(d.offered-d.returned, 0) }
+func (d fleetDemand) requests() float64 {
+	return d.offered - min(d.returned, maxReturnedShare*d.offered)
+}
 
 // meanAdmitted returns the part of all callers' requests that is admitted with these shares.
 func meanAdmitted(demand []fleetDemand, shares map[uint32]float64) float64 {
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -88,7 +88,7 @@
 		peers: map[string]*peer{}, instances: map[string]string{}, outlierGroups: map[string]*outlierGroup{},
 		receipts:  newReceipts(cfg.StartedAt),
 		suspects:  newSuspects(cfg.Instance, cfg.Incarnation),
-		admission: newAdmission(), refusals: refusals{expires: map[uint64]time.Duration{}},
+		admission: newAdmission(), refusals: refusals{expires: map[refusedRequest]time.Duration{}},
 		usage: usage{roots: map[uint32]*rootUsage{}}, openWork: map[string]*parentRequest{},
 	}
 	n.limiter.SetLimit(defaultLimit)
--- a/core/mesh/refusals.go
+++ b/core/mesh/refusals.go
@@ -18,30 +18,39 @@
 // refusals remembers requests that were refused admission, so that callers who retry
 // as told have precedence over new ones.
 type refusals struct {
-	expires map[uint64]time.Duration
+	expires map[refusedRequest]time.Duration
 }
 
+// refusedRequest identifies a refused request. Those of different senders are different, since
+// many callers may send the same content.
+type refusedRequest struct {
+	fingerprint uint64
+	sender      string
+}
+
+func refused(r IncomingRequest) refusedRequest { return refusedRequest{r.Fingerprint, r.Sender} }
+
 // add remembers a refused request.
 func (r *refusals) add(now time.Duration, request IncomingRequest) {
 	if len(r.expires) >= maxRefusals {
 		r.dropExpired(now)
 	}
 	if len(r.expires) < maxRefusals {
-		r.expires[request.Fingerprint] = now + refusalMemory
+		r.expires[refused(request)] = now + refusalMemory
 	}
 }
 
 // take reports whether a request was refused recently, and forgets it.
 func (r *refusals) take(now time.Duration, request IncomingRequest) bool {
-	expires, known := r.expires[request.Fingerprint]
-	delete(r.expires, request.Fingerprint)
+	expires, known := r.expires[refused(request)]
+	delete(r.expires, refused(request))
 	return known && now < expires
 }
 
 func (r *refusals) dropExpired(now time.Duration) {
-	for fingerprint, expires := range r.expires {
+	for request, expires := range r.expires {
 		if now >= expires {
-			delete(r.expires, fingerprint)
+			delete(r.expires, request)
 		}
 	}
 }
--- a/harness/loadpattern/node.go
+++ b/harness/loadpattern/node.go
@@ -9,14 +9,13 @@
 )
 
 // startCall starts a request at its entry node. When it ends, done receives the
-// last step and whether the request succeeded. path identifies the request in its
-// fingerprint, so it is the same for a retry by the caller. parent is the ID of the
+// last step and whether the request succeeded. parent is the ID of the
 // request for which the call is made, empty for a caller's request. timeout is how
 // long the sender still waits, 0 for the timeout of the route.
-func (n *node) startCall(c *Class, id, path, parent string, timeout time.Duration, done func(mesh.Step, bool)) {
+func (n *node) startCall(c *Class, id string, from source, parent string, timeout time.Duration, done func(mesh.Step, bool)) {
 	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(c.Name + path))
-	request := mesh.IncomingRequest{ID: id, Host: "h", Path: "/" + c.Name + "/", Fingerprint: hash.Sum64(), Parent: parent, Timeout: timeout}
+	_, _ = hash.Write([]byte(c.Name + from.content))
+	request := mesh.IncomingRequest{ID: id, Host: "h", Path: "/" + c.Name + "/", Fingerprint: hash.Sum64(), Sender: from.sender, Parent: parent, Timeout: timeout}
 	call, step := n.mesh.StartCall(n.w.now, request)
 	n.handleStep(c, call, step, done)
 }
@@ -199,7 +198,7 @@
 		return
 	}
 	id := parent.ID + "." + n.w.newID()
-	n.startCall(n.w.classes[class], id, id, parent.ID, timeout, func(_ mesh.Step, ok bool) { done(ok) })
+	n.startCall(n.w.classes[class], id, source{content: id}, parent.ID, timeout, func(_ mesh.Step, ok bool) { done(ok) })
 }
 
 // notifyPending passes the decision on a queued request to its callback.
--- a/harness/loadpattern/starved_beside_important_test.go
+++ b/harness/loadpattern/starved_beside_important_test.go
@@ -24,6 +24,26 @@
 	}
 }
 
+// TestPopularRequestIsNotStarved guards against a class of low priority that is starved beside
+// more important ones because all its requests are the same: those of other callers were
+// taken for one that came back after a refusal, and did not count as demand.
+func TestPopularRequestIsNotStarved(t *testing.T) {
+	for _, tt := range []struct {
+		name                string
+		returns, oneAddress bool
+	}{
+		{"callers return", true, false}, {"callers do not return", false, false}, {"callers return, from one address", true, true},
+	} {
+		for _, factor := range []float64{2.5, 3.5, 5} {
+			t.Run(fmt.Sprintf("%s, %.1f times the demand", tt.name, factor), func(t *testing.T) {
+				spec := loadpattern.StarvedBesideImportant(factor, 1)
+				spec.SameContent, spec.RetryRefusedOnce, spec.OneAddress = true, tt.returns, tt.oneAddress
+				checkNoneStarved(t, loadpattern.RunByOrigin(spec))
+			})
+		}
+	}
+}
+
 func checkNoneStarved(t *testing.T, results map[loadpattern.Origin]loadpattern.Result) {
 	var all loadpattern.Result
 	byClass := map[string]loadpattern.Result{}
--- a/harness/loadpattern/world.go
+++ b/harness/loadpattern/world.go
@@ -82,6 +82,9 @@
 	// DataCentres is the number of data centres over which the upstreams of each service
 	// are spread in turn; 0 means one.
 	DataCentres int
+	// SameContent makes all requests of a class the same, as those for a popular page are.
+	// OneAddress lets all callers send from one address.
+	SameContent, OneAddress bool
 	// RetryRefusedOnce makes callers retry a refused request once, after the time that
 	// the refusal asks for.
 	RetryRefusedOnce bool
@@ -323,23 +326,34 @@
 	w.schedule(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
 		n := w.nodes[w.random.IntN(len(w.nodes))]
 		w.results[Origin{d.Class, n.dataCentre}].Offered++
-		w.sendRequest(d.Class, n, w.now, w.newID(), w.spec.RetryRefusedOnce)
+		sender := w.newID()
+		content := sender
+		if w.spec.SameContent {
+			content = d.Class
+		}
+		if w.spec.OneAddress {
+			sender = ""
+		}
+		w.sendRequest(d.Class, n, w.now, source{content, sender}, w.spec.RetryRefusedOnce)
 		w.scheduleNextRequest(d)
 	})
 }
 
+// source says what a request holds and who sends it. It is the same for a retry by the caller.
+type source struct{ content, sender string }
+
 // sendRequest sends a caller's request to n. firstSent is the time at which the
 // caller first sent it; retry allows one more send after a refusal.
-func (w *world) sendRequest(class string, n *node, firstSent time.Duration, path string, retry bool) {
+func (w *world) sendRequest(class string, n *node, firstSent time.Duration, from source, retry bool) {
 	c, r := w.classes[class], w.results[Origin{class, n.dataCentre}]
-	n.startCall(c, w.newID(), path, "", 0, func(step mesh.Step, ok bool) {
+	n.startCall(c, w.newID(), from, "", 0, func(step mesh.Step, ok bool) {
 		switch {
 		case ok && w.now-firstSent <= c.LatencyGoal:
 			r.Served++
 		case ok:
 			r.Late++
 		case step.Kind == mesh.StepRefuse && retry:
-			w.schedule(step.RetryAfter, func() { w.sendRequest(class, n, firstSent, path, false) })
+			w.schedule(step.RetryAfter, func() { w.sendRequest(class, n, firstSent, from, false) })
 		case step.Kind == mesh.StepRefuse:
 			r.Refused++
 		default:
