--- a/harness/loadpattern/starved_beside_important_test.go
+++ b/harness/loadpattern/starved_beside_important_test.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// TestPopularPageBehindOneAddressIsNotStarved guards against the same if all callers send from
+// one address and none comes back after a refusal.
+func TestPopularPageBehindOneAddressIsNotStarved(t *testing.T) {
+	for _, factor := range []float64{2.5, 3.5, 5} {
+		spec := loadpattern.StarvedBesideImportant(factor, 1)
+		spec.SameContent, spec.OneAddress, spec.RetryRefusedOnce = true, true, false
+		checkNoneStarved(t, loadpattern.RunByOrigin(spec))
+	}
+}
+
 func checkNoneStarved(t *testing.T, results map[loadpattern.Origin]loadpattern.Result) {
 	var all loadpattern.Result
 	byClass := map[string]loadpattern.Result{}
