Exchange state between data centres through relays

What callers saw: on the large deployment plans knew other data centres 2 s late, while a surge lasts 3 s. Cause: the exchange grew with the square of the fleet, and was slowed down to bound it. Change: nodes of a data centre send heartbeats to three relays (to all, if they are ten or fewer). The first relay sends sums by service and route, and states of instances by turns, to its data centre and to the relay of each other one; the next one takes over when a round is missing. Messages are maps with a version; heartbeats of the version before are read, and are sent to nodes that use them. A node that starts waits after its first reads of the store, which is listed in one call. Found by the new fleet tests before landing: two data centres that took each other for silent after a cut never spoke again; a collector took a node for silent that reports to another one. Load patterns now use the exchange itself, with the nodes' ticks at different times.

--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -131,12 +131,34 @@
 	}
 	n.usage.endInterval(now)
 	n.faults.endInterval()
-	n.admission.services = n.viewServices(now)
-	n.admission.fleetDemand = n.viewDemand(now)
+	known := n.viewFleet(now)
 	n.admission.updateLoads(n.admission.fleetDemand)
+	n.setShares()
+	n.notePlan(known.own)
+	n.recordPeerChanges(now)
+}
+
+// Replan makes a new plan from the rates of the last one if relays have told news for which
+// it should not wait.
+func (n *Node) Replan(now time.Duration) {
+	if n.planStale {
+		n.viewFleet(now)
+		n.setShares()
+	}
+}
+
+// viewFleet evaluates what is known of all nodes.
+func (n *Node) viewFleet(now time.Duration) *fleetSums {
+	known := n.fleetSums(now)
+	n.admission.services = n.viewServices(now, known)
+	n.admission.fleetDemand = n.viewDemand(now, known)
+	n.planStale = false
+	return known
+}
+
+func (n *Node) setShares() {
 	n.admission.setShares(n.admission.fleetDemand)
 	n.nearCapacity = n.admission.nearCapacity()
-	n.recordPeerChanges(now)
 }
 
 // nearCapacity reports whether the requests at a service reach a large part of its
@@ -177,10 +199,14 @@
 
 // returnedPercent returns the part of the offered requests that came back, in percent.
 func (d *routeDemand) returnedPercent() uint8 {
-	if d.offeredRate <= 0 {
+	return returnedPercent(d.returnedRate, d.offeredRate)
+}
+
+func returnedPercent(returned, offered float64) uint8 {
+	if offered <= 0 {
 		return 0
 	}
-	return uint8(math.Round(100 * min(d.returnedRate/d.offeredRate, 1)))
+	return uint8(math.Round(100 * min(returned/offered, 1)))
 }
 
 // MaxHeartbeatRoutes bounds the routes of each list in one heartbeat, so that it fits in a datagram.
--- a/core/mesh/crash_test.go
+++ b/core/mesh/crash_test.go
@@ -121,7 +121,7 @@
 	if !due[unregistered.cfg.Instance] {
 		t.Errorf("no heartbeat due for the unregistered node")
 	}
-	demand := other.viewDemand(now)
+	demand := other.viewDemand(now, other.fleetSums(now))
 	if len(demand) != 1 || demand[0].offered < 50 {
 		t.Errorf("demand %+v, want one route with at least 50 requests offered per second", demand)
 	}
--- a/core/mesh/events.go
+++ b/core/mesh/events.go
@@ -36,6 +36,9 @@
 	EventRequestBlocked
 	// EventRequestCleared means that a request that was blocked may run again.
 	EventRequestCleared
+	// EventRelayFollowed means that what is told of a data centre is taken from another
+	// instance than before.
+	EventRelayFollowed
 )
 
 // String returns the log message of the event.
@@ -43,7 +46,7 @@
 	return [...]string{
 		"none", "upstream ejected", "upstream readmitted", "node silent", "node heard", "upstream faulty", "upstream sound",
 		"upstream named limit", "upstream lifted limit", "upstream leaving",
-		"request blocked", "request cleared",
+		"request blocked", "request cleared", "relay followed",
 	}[k]
 }
 
@@ -64,6 +67,8 @@
 	// number of crashes recorded for it.
 	Fingerprint uint64
 	Crashes     int
+	// DataCentre is the data centre of which a relay tells.
+	DataCentre string
 }
 
 // maxEvents bounds the buffered events. Further ones are dropped.
--- a/core/mesh/heartbeat.go
+++ b/core/mesh/heartbeat.go
@@ -10,19 +10,16 @@
 	"github.com/shallotspool/shallotspool/core/route"
 )
 
-// HeartbeatInterval is the interval between the heartbeats that a node sends to an
-// instance in its data centre, unless maxHeartbeatRate requires a longer one. It fits
-// several times into the shortest latency goal of a route.
+// HeartbeatInterval is the interval between the heartbeats that a node sends to the relays
+// of its data centre, or to all nodes there if they are few. It fits several times into the
+// shortest latency goal of a route.
 const HeartbeatInterval = 200 * time.Millisecond
 
 const (
-	// remoteIntervalFactor lengthens the interval of heartbeats to other data centres,
-	// because traffic between data centres costs money.
-	remoteIntervalFactor = 2
-	// maxHeartbeatRate bounds the heartbeats per second that a node sends, and
-	// therefore receives, while they are not urgent; see Node.DueHeartbeats. At about
-	// ten microseconds each they take less than 1 % of a core.
-	maxHeartbeatRate = 200
+	// legacyRemoteFactor lengthens the interval of heartbeats to nodes of other data centres
+	// that know no relays, and maxLegacyRate bounds the heartbeats per second to all of them.
+	legacyRemoteFactor = 2
+	maxLegacyRate      = 200
 	// fullHeartbeatInterval is the interval of full heartbeats while all services are
 	// well below capacity. Those in between are partial and omit slowly changing
 	// statistics.
@@ -31,46 +28,46 @@
 	// heartbeat is full, because admission shares may soon be needed.
 	nearCapacityThreshold = 0.5
 	// urgentQueueShare is the queue length, as a share of the concurrency limit, above
-	// which a node sends full heartbeats to all instances in every interval.
+	// which a node sends only full heartbeats.
 	urgentQueueShare = 0.25
 )
 
 // Heartbeat is the state of a node and its upstream as reported to other nodes. It is
-// encoded as an array, so the order of the fields is part of the protocol.
+// encoded as a map with integer keys. Fields keep their keys in all versions.
 type Heartbeat struct {
-	_ struct{} `cbor:",toarray"`
+	_ struct{}
 
 	// Incarnation identifies one run of the node process: the time of its start on the
 	// clock of the instance.
-	Incarnation int64
+	Incarnation int64 `cbor:"1,keyasint,omitempty"`
 	// Interval is the time until the next heartbeat to the same instance.
-	Interval time.Duration
+	Interval time.Duration `cbor:"2,keyasint,omitempty"`
 	// Partial is set if Routes, Roots and Demand are omitted. The receiver keeps their
 	// last values.
-	Partial bool
-	Leaving bool
+	Partial bool `cbor:"3,keyasint,omitempty"`
+	Leaving bool `cbor:"4,keyasint,omitempty"`
 	// Version is the version of the routing table in force.
-	Version route.Version
+	Version route.Version `cbor:"5,keyasint,omitempty"`
 	// Era and Revision are the position of the store up to which the node is current.
-	Era      uint64
-	Revision uint64
+	Era      uint64 `cbor:"6,keyasint,omitempty"`
+	Revision uint64 `cbor:"7,keyasint,omitempty"`
 	// RegistryDigest identifies the set of known registrations; see registryDigest.
-	RegistryDigest uint32
+	RegistryDigest uint32 `cbor:"8,keyasint,omitempty"`
 	// ReadsStore is set if the node is in touch with the store.
-	ReadsStore bool
-	Service    string
-	Load       Load
+	ReadsStore bool   `cbor:"9,keyasint,omitempty"`
+	Service    string `cbor:"10,keyasint,omitempty"`
+	Load       Load   `cbor:"11,keyasint,omitempty"`
 	// FaultShare is the share of runs that failed because of the upstream itself.
-	FaultShare float32
+	FaultShare float32 `cbor:"12,keyasint,omitempty"`
 	// FirstRuns is the number of first runs of requests at the upstream within the
 	// window of RetryBounds.
-	FirstRuns float32
+	FirstRuns float32 `cbor:"13,keyasint,omitempty"`
 	// Retries is the number of all other runs within that window.
-	Retries float32
-	Routes  []RouteStat
-	Roots   []RootStat
-	Demand  []DemandStat
-	Crashes []CrashStat
+	Retries float32      `cbor:"14,keyasint,omitempty"`
+	Routes  []RouteStat  `cbor:"15,keyasint,omitempty"`
+	Roots   []RootStat   `cbor:"16,keyasint,omitempty"`
+	Demand  []DemandStat `cbor:"17,keyasint,omitempty"`
+	Crashes []CrashStat  `cbor:"18,keyasint,omitempty"`
 }
 
 // RouteStat is the run time of one route at the reporting node's upstream.
@@ -122,6 +119,7 @@
 	if h.Incarnation < p.heartbeat.Incarnation && !p.silent(now) {
 		return
 	}
+	before := p.heartbeat
 	if h.Incarnation != p.heartbeat.Incarnation || !h.Leaving {
 		p.leavingUntil = 0
 	}
@@ -131,8 +129,9 @@
 	if h.Partial && h.Incarnation == p.heartbeat.Incarnation {
 		h.Routes, h.Roots, h.Demand = p.heartbeat.Routes, p.heartbeat.Roots, p.heartbeat.Demand
 	}
-	p.heartbeat, p.heartbeatAt = h, now
+	p.heartbeat, p.heartbeatAt, p.directAt, p.reportedSilent = h, now, now, false
 	p.recordLoad(now, h.Load)
+	n.noteReport(p, before)
 	n.recordCrashes(now, instance, h.Incarnation, h.Crashes)
 }
 
@@ -166,6 +165,8 @@
 	Partial bool
 	// CrashPage is the page of the crash records that the heartbeat carries.
 	CrashPage int
+	// Legacy is set if the instance reads the format of LegacyHeartbeat only.
+	Legacy bool
 }
 
 // WithoutStatistics returns h as a partial heartbeat.
@@ -186,53 +187,53 @@
 }
 
 // DueHeartbeats calls each for every heartbeat that is due and records it as sent.
-// Heartbeats are urgent while the node leaves or its upstream has a long queue: a full
-// one is then due for every instance at each call, because the others have to know soon.
+// Heartbeats are urgent while the node leaves or its upstream has a long queue: they are
+// then full ones, and the first one does not wait for its interval.
 func (n *Node) DueHeartbeats(now time.Duration, each func(DueHeartbeat)) {
-	localInterval := max(HeartbeatInterval, time.Duration(len(n.instances))*time.Second/maxHeartbeatRate)
 	urgent := n.leaving || float64(n.limiter.Queued()) > urgentQueueShare*float64(n.limiter.Limit())
+	becameUrgent := urgent && !n.wasUrgent
+	n.wasUrgent = urgent
 	pages := crashPages(len(n.crashStats(now)))
-	for _, instance := range n.fleet(now) {
-		if instance == n.cfg.Instance {
-			continue
-		}
-		interval := localInterval
-		if n.instances[instance] != n.cfg.DataCentre {
-			interval *= remoteIntervalFactor
-		}
+	for _, instance := range n.heartbeatRecipients(now) {
 		p := n.peer(instance)
+		interval := n.heartbeatInterval(now, instance, p, urgent)
 		// A heartbeat is due a little early, so that a call just before its time does not
 		// delay it to the next call.
-		if !urgent && now < p.heartbeatSentAt+interval-HeartbeatInterval/2 {
+		if !becameUrgent && now < p.heartbeatSentAt+interval-ExchangeInterval/2 {
 			continue
 		}
-		full := urgent || n.nearCapacity || p.fullSentAt == 0 || now >= p.fullSentAt+fullHeartbeatInterval
+		resumed := now > p.heartbeatSentAt+2*interval
+		full := urgent || n.nearCapacity || resumed || now >= p.fullSentAt+fullHeartbeatInterval
 		p.heartbeatSentAt = now
 		if full {
 			p.fullSentAt = now
 		}
 		p.crashPage = (p.crashPage + 1) % pages
-		each(DueHeartbeat{Instance: instance, Interval: interval, Partial: !full, CrashPage: p.crashPage})
+		each(DueHeartbeat{Instance: instance, Interval: interval, Partial: !full, CrashPage: p.crashPage, Legacy: p.legacy(now)})
 	}
 }
 
-// fleet returns, sorted, all instances that run a node: those with a registered
-// upstream and those with recent heartbeats. A node whose upstream is not registered
-// keeps sending requests, so it needs the state of the others and they need its
-// demand.
-func (n *Node) fleet(now time.Duration) []string {
-	list := make([]string, 0, len(n.instances)+1)
-	for instance := range n.instances {
-		list = append(list, instance)
-	}
+// heartbeatRecipients returns, sorted, the instances to which this node sends heartbeats.
+func (n *Node) heartbeatRecipients(now time.Duration) []string {
+	list := n.collectors(now)
 	for instance, p := range n.peers {
-		if _, registered := n.instances[instance]; !registered && p.heartbeatAt > 0 && !p.silent(now) {
+		if p.legacy(now) {
 			list = append(list, instance)
 		}
 	}
-	if _, registered := n.instances[n.cfg.Instance]; !registered {
-		list = append(list, n.cfg.Instance)
-	}
 	slices.Sort(list)
-	return list
+	list = slices.Compact(list)
+	return slices.DeleteFunc(list, func(instance string) bool { return instance == n.cfg.Instance })
+}
+
+// heartbeatInterval returns the interval of heartbeats to an instance.
+func (n *Node) heartbeatInterval(now time.Duration, instance string, p *peer, urgent bool) time.Duration {
+	if urgent || !p.legacy(now) {
+		return HeartbeatInterval
+	}
+	interval := max(HeartbeatInterval, time.Duration(len(n.instances))*time.Second/maxLegacyRate)
+	if n.instances[instance] != n.cfg.DataCentre {
+		interval *= legacyRemoteFactor
+	}
+	return interval
 }
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -63,6 +63,10 @@
 	// behindSince is when this node, while it reads the store, learned of a newer table at
 	// another node; 0 if it has the newest.
 	behindSince time.Duration
+	// nextReadAt is the earliest time of the next read of the store.
+	nextReadAt time.Duration
+	// othersListed is set once a read of the store showed other instances of the data centre.
+	othersListed bool
 	// following is set while this node leaves reading the store to others.
 	following bool
 	// digest identifies the set of known registrations, and adoptedDigest the set last
@@ -72,7 +76,14 @@
 	// requests were refused admission.
 	nearCapacity bool
 	leaving      bool
-	events       []Event
+	// wasUrgent is set if heartbeats were urgent at the last call of DueHeartbeats, and
+	// planStale if relays told news for which the plan should not wait.
+	wasUrgent, planStale bool
+	relay                relay
+	// ownReport is the heartbeat of this node at ownReportAt.
+	ownReport   *Heartbeat
+	ownReportAt time.Duration
+	events      []Event
 	// notice is what the local upstream said in its last answer. noticeKnown is set once it
 	// has answered.
 	notice      Notice
@@ -90,6 +101,7 @@
 		suspects:  newSuspects(cfg.Instance, cfg.Incarnation),
 		admission: newAdmission(), refusals: refusals{expires: map[refusedRequest]time.Duration{}},
 		usage: usage{roots: map[uint32]*rootUsage{}}, openWork: map[string]*parentRequest{},
+		relay: newRelay(),
 	}
 	n.limiter.SetLimit(defaultLimit)
 	return n
@@ -147,7 +159,7 @@
 }
 
 // Leave marks the node as about to stop.
-func (n *Node) Leave() { n.leaving = true }
+func (n *Node) Leave() { n.leaving, n.wasUrgent = true, false }
 
 // Ready reports whether the node can serve callers.
 func (n *Node) Ready() bool { return n.table != nil && n.registry.Len() > 0 && !n.leaving }
--- a/core/mesh/peer.go
+++ b/core/mesh/peer.go
@@ -34,10 +34,18 @@
 	heartbeatSentAt, fullSentAt time.Duration
 	// crashPage is the page of crash records in the last heartbeat to the instance.
 	crashPage int
-	// heartbeatAt is the time of the last heartbeat from the instance, 0 if there was
-	// none.
-	heartbeatAt  time.Duration
-	heartbeat    Heartbeat
+	// heartbeatAt is the time of the last heartbeat from the instance, or of the last news of
+	// it from a relay, 0 if there was none.
+	heartbeatAt time.Duration
+	heartbeat   Heartbeat
+	// directAt is the time of the last heartbeat that came from the instance itself, and
+	// relayedAt that of the last state that a relay told; 0 if there is none. reportedSilent is
+	// set while relays say that the node is silent.
+	directAt, relayedAt time.Duration
+	reportedSilent      bool
+	// legacyAt is the time of the last heartbeat in the format of LegacyHeartbeat, 0 if the
+	// node has sent others since.
+	legacyAt     time.Duration
 	leavingUntil time.Duration
 	outlier      outlier.Target
 	notice       upstreamNotice
@@ -73,7 +81,21 @@
 
 // silent reports whether an instance that sent heartbeats has stopped sending them.
 func (p *peer) silent(now time.Duration) bool {
-	return p.heartbeatAt > 0 && now-p.heartbeatAt > maxMissedHeartbeats*max(p.heartbeat.Interval, HeartbeatInterval)
+	return p.heartbeatAt > 0 && (p.reportedSilent || now-p.heartbeatAt > maxMissedHeartbeats*max(p.heartbeat.Interval, HeartbeatInterval))
+}
+
+// reportsDirectly reports whether heartbeats of the instance itself arrive here.
+func (p *peer) reportsDirectly(now time.Duration) bool {
+	return p.directAt > 0 && now-p.directAt <= maxMissedHeartbeats*max(p.heartbeat.Interval, HeartbeatInterval)
+}
+
+// legacyMemory is how long a node counts as one that knows no relays after its last
+// heartbeat in the old format.
+const legacyMemory = 10 * time.Second
+
+// legacy reports whether the node of the instance knows no relays.
+func (p *peer) legacy(now time.Duration) bool {
+	return p.legacyAt > 0 && now-p.legacyAt <= legacyMemory
 }
 
 func (p *peer) leaving(now time.Duration) bool { return now < p.leavingUntil }
--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -171,3 +171,22 @@
 	}
 	return table, store
 }
+
+// RelayReport is the state of the exchange between nodes.
+type RelayReport struct {
+	// Collecting is set if this node gets the heartbeats of all nodes of its data centre.
+	Collecting bool
+	// OwnNodes and OtherNodes are the numbers of nodes of the own data centre and of all
+	// others whose state the last plan is based on.
+	OwnNodes, OtherNodes int
+	// RoundAge is the time since a relay of the own data centre sent a round.
+	RoundAge time.Duration
+}
+
+// RelayReport returns the state of the exchange between nodes.
+func (n *Node) RelayReport(now time.Duration) RelayReport {
+	known := n.fleetSums(now)
+	return RelayReport{
+		Collecting: n.relay.collecting, OwnNodes: known.own.nodes, OtherNodes: known.others.nodes, RoundAge: now - n.relay.roundAt,
+	}
+}
--- a/core/mesh/service_view.go
+++ b/core/mesh/service_view.go
@@ -15,7 +15,7 @@
 	queueDrainTime = HeartbeatInterval
 )
 
-// serviceView aggregates the heartbeats of the nodes of one service.
+// serviceView is what the plan knows of one service.
 type serviceView struct {
 	// allSilent is set if the nodes beside all upstreams of the service are silent.
 	allSilent bool
@@ -37,37 +37,76 @@
 	runRates   map[uint32]float64
 }
 
-// viewServices aggregates the current heartbeats by service.
-func (n *Node) viewServices(now time.Duration) map[string]*serviceView {
+// viewServices aggregates what is known of the nodes of each service.
+func (n *Node) viewServices(now time.Duration, known *fleetSums) map[string]*serviceView {
 	views := map[string]*serviceView{}
 	n.registry.ForEachService(func(name string, list []*registry.Upstream) {
-		view := &serviceView{allSilent: len(list) > 0, slotsInUse: map[uint32]float64{}, runRates: map[uint32]float64{}}
-		var capacities []upstreamCapacity
+		sum := ServiceSum{Service: name}
+		for _, part := range []*sums{known.own, known.others} {
+			if s := part.services[name]; s != nil {
+				sum.add(s)
+			}
+		}
+		allSilent := len(list) > 0
 		for _, u := range list {
-			if h, ok := n.freshHeartbeat(now, u.Instance); ok && h.Service == name && !u.Draining {
-				view.add(h)
-				capacities = append(capacities, upstreamCapacity{float64(h.Load.Limit), float64(h.FaultShare)})
+			allSilent = allSilent && n.instanceSilent(now, u.Instance)
+			if h, ok := n.freshHeartbeat(now, u.Instance); ok && h.Service == name && !u.Draining && !known.covers(u.DataCentre) {
+				sum.addUpstream(h)
 			}
-			view.allSilent = view.allSilent && n.instanceSilent(now, u.Instance)
 		}
-		view.slots, view.bestEffortSlots = usableSlots(capacities, directShare*n.budget.bounds.Ratio)
-		view.faultShare = meanFaultShare(capacities)
+		view := newServiceView(&sum, directShare*n.budget.bounds.Ratio)
+		view.allSilent = allSilent
 		views[name] = view
 	})
 	return views
 }
 
-// freshHeartbeat returns the last heartbeat of an instance, or the current one of this
-// node. It reports false if the instance is unknown, silent or ejected.
-func (n *Node) freshHeartbeat(now time.Duration, instance string) (Heartbeat, bool) {
-	if instance == n.cfg.Instance {
-		return n.Heartbeat(now), true
+// newServiceView returns the view of a service with these sums. retries is the number of
+// retries allowed per call.
+func newServiceView(sum *ServiceSum, retries float64) *serviceView {
+	v := &serviceView{
+		requests: float64(sum.Requests), limit: float64(sum.Limit), firstRuns: float64(sum.FirstRuns), retries: float64(sum.Retries),
+		backlog: float64(sum.Backlog), slotsInUse: map[uint32]float64{}, runRates: map[uint32]float64{},
+	}
+	var capacities []upstreamCapacity
+	for _, c := range sum.Capacities {
+		capacities = append(capacities, upstreamCapacity{float64(c.Slots), faultShareOf(c.FaultLevel)})
 	}
+	v.slots, v.bestEffortSlots = usableSlots(capacities, retries)
+	v.faultShare = meanFaultShare(capacities)
+	for _, root := range sum.Roots {
+		v.slotsInUse[root.Root] += float64(root.SlotsInUse)
+		v.runRates[root.Root] += float64(root.RunRate)
+		v.runRate += float64(root.RunRate)
+	}
+	return v
+}
+
+// fleetSums holds the sums over the own data centre and over those others that covered names.
+type fleetSums struct {
+	own, others   *sums
+	ownDataCentre string
+	covered       []string
+}
+
+func (n *Node) fleetSums(now time.Duration) *fleetSums {
+	others, covered := n.otherSums(now)
+	return &fleetSums{own: n.ownSums(now), others: others, ownDataCentre: n.cfg.DataCentre, covered: covered}
+}
+
+// covers reports whether the sums hold the nodes of a data centre.
+func (f *fleetSums) covers(dataCentre string) bool {
+	return dataCentre == f.ownDataCentre || slices.Contains(f.covered, dataCentre)
+}
+
+// freshHeartbeat returns the last heartbeat that came from an instance itself. It reports
+// false if there is none or the instance is silent or ejected.
+func (n *Node) freshHeartbeat(now time.Duration, instance string) (*Heartbeat, bool) {
 	p := n.peers[instance]
-	if p == nil || p.heartbeatAt == 0 || p.silent(now) || p.outlier.Ejected() {
-		return Heartbeat{}, false
+	if p == nil || !p.reportsDirectly(now) || p.silent(now) || p.outlier.Ejected() {
+		return nil, false
 	}
-	return p.heartbeat, true
+	return &p.heartbeat, true
 }
 
 // instanceSilent reports whether another instance that sent heartbeats has stopped
@@ -77,26 +116,6 @@
 	return instance != n.cfg.Instance && p != nil && p.silent(now)
 }
 
-// add adds the heartbeat of one node.
-func (v *serviceView) add(h Heartbeat) {
-	v.requests += float64(h.Load.Running + h.Load.Queued)
-	v.limit += float64(h.Load.Limit)
-	v.firstRuns += float64(h.FirstRuns)
-	v.retries += float64(h.Retries)
-	slotsInUse, runs := 0.0, 0.0
-	for _, s := range h.Roots {
-		v.slotsInUse[s.Root] += float64(s.SlotsInUse)
-		v.runRates[s.Root] += float64(s.RunRate)
-		slotsInUse += float64(s.SlotsInUse)
-		runs += float64(s.RunRate)
-	}
-	v.runRate += runs
-	if runs > 0 {
-		meanRunTime := slotsInUse / runs // in seconds
-		v.backlog += float64(h.Load.Queued) * meanRunTime / max(queueDrainTime.Seconds(), meanRunTime)
-	}
-}
-
 // fleetDemand is the demand of callers at all nodes for one route. The rates are in
 // requests per second.
 type fleetDemand struct {
@@ -106,30 +125,26 @@
 	offered, admitted, served, returned float64
 }
 
-// viewDemand aggregates the demand reported by all nodes by route, the most important
-// first.
-func (n *Node) viewDemand(now time.Duration) []fleetDemand {
-	sums := map[uint32]*fleetDemand{}
-	for _, instance := range n.fleet(now) {
-		h, ok := n.freshHeartbeat(now, instance)
-		if !ok {
-			continue
-		}
-		for _, s := range h.Demand {
-			d := sums[s.Root]
-			if d == nil {
-				d = &fleetDemand{root: s.Root, priority: int(s.Priority), idempotent: s.Idempotent}
-				sums[s.Root] = d
+// viewDemand returns the demand at all nodes by route, the most important first. Nodes of
+// data centres that the sums do not hold count with the heartbeats that came from them.
+func (n *Node) viewDemand(now time.Duration, known *fleetSums) []fleetDemand {
+	total := newSums()
+	total.add(known.own)
+	total.add(known.others)
+	for instance, p := range n.peers {
+		dataCentre, registered := n.instances[instance]
+		uncovered := registered && !known.covers(dataCentre) || !registered && p.legacyAt > 0
+		if h, ok := n.freshHeartbeat(now, instance); ok && uncovered {
+			for _, d := range h.Demand {
+				total.addDemand(d)
 			}
-			d.offered += float64(s.Offered)
-			d.admitted += float64(s.Admitted)
-			d.served += float64(s.Served)
-			d.returned += float64(s.Offered) * float64(s.ReturnedPercent) / 100
 		}
 	}
-	list := make([]fleetDemand, 0, len(sums))
-	for _, d := range sums {
-		list = append(list, *d)
+	list := make([]fleetDemand, 0, len(total.demand))
+	for root, d := range total.demand {
+		list = append(list, fleetDemand{
+			root: root, priority: d.priority, idempotent: d.idempotent, offered: d.offered, admitted: d.admitted, served: d.served, returned: d.returned,
+		})
 	}
 	slices.SortFunc(list, func(a, b fleetDemand) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.root, b.root))
--- a/core/mesh/store_reads.go
+++ b/core/mesh/store_reads.go
@@ -40,6 +40,7 @@
 	}
 	r.MarkStoreUp(now)
 	n.StoreAnswered(now)
+	defer func() { n.nextReadAt = now + n.discoveryDelay(now) }()
 	n.storeListed, n.watchFrom = true, position
 	for _, t := range changes.Tables {
 		if n.SetTable(now, t) {
@@ -59,3 +60,49 @@
 	}
 	return inForce, nil
 }
+
+const (
+	// discoveryPeriod is the time after the start of a node in which it may not have heard
+	// other nodes yet, so that it does not know whether to read the store.
+	discoveryPeriod = 3 * time.Second
+	// firstPause, settlePause and followPause are the mean times that a node waits after a
+	// read in that period: if it knows no other instance of its data centre, after the first
+	// read that shows some, and if it will probably follow.
+	firstPause  = 1500 * time.Millisecond
+	settlePause = 500 * time.Millisecond
+	followPause = time.Second
+)
+
+// ReadDue reports whether this node may read the store now, provided that ShouldFollow
+// reports false.
+func (n *Node) ReadDue(now time.Duration) bool { return now >= n.nextReadAt }
+
+// discoveryDelay returns how long this node, after a read of the store, waits to hear from
+// nodes that read it. Just after a start nodes do not know each other. Each of them would go
+// on reading, for every upstream that registers, if it did not wait. Once a node knows
+// others, the wait is shorter if it is to be a reader, as far as the registrations show.
+func (n *Node) discoveryDelay(now time.Duration) time.Duration {
+	if now-n.cfg.StartedAt > discoveryPeriod {
+		return 0
+	}
+	others, preceding := 0, 0
+	for instance, dataCentre := range n.instances {
+		if dataCentre != n.cfg.DataCentre || instance == n.cfg.Instance {
+			continue
+		}
+		others++
+		if readerPosition(instance) < readerPosition(n.cfg.Instance) {
+			preceding++
+		}
+	}
+	pause := followPause
+	switch {
+	case others == 0:
+		pause = firstPause
+	case !n.othersListed:
+		n.othersListed, pause = true, settlePause
+	case preceding < readersPerDataCentre:
+		return 0
+	}
+	return pause/2 + time.Duration(n.random.Int64N(int64(pause)))
+}
--- a/harness/loadpattern/world.go
+++ b/harness/loadpattern/world.go
@@ -147,6 +147,8 @@
 	// queued request.
 	pendingWork map[uint64]func(concurrency.Decision)
 	lastWorkID  uint64
+	// exchanges is the number of times that the node has sent its messages.
+	exchanges int
 }
 
 // retryBounds holds the bounds on retries of every node, as the users' platform
@@ -230,7 +232,7 @@
 		}
 		w.scheduleNextRequest(d)
 	}
-	w.exchangeHeartbeats()
+	w.startExchange()
 	for len(w.events) > 0 && w.events[0].at < spec.Duration {
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
@@ -291,27 +293,45 @@
 	}
 }
 
-// exchangeHeartbeats updates the plan of every node, sends its heartbeat to all
-// others and expires its queued requests, once per heartbeat interval.
-func (w *world) exchangeHeartbeats() {
+// startExchange lets every node exchange messages, each from a moment of its own on.
+func (w *world) startExchange() {
 	for _, n := range w.nodes {
-		if !w.spec.DisableEntryAdmission {
-			n.mesh.UpdatePlan(w.now)
-		}
-		heartbeat := n.mesh.Heartbeat(w.now)
-		w.schedule(hopDelay, func() {
-			for _, other := range w.nodes {
-				if other != n {
-					other.mesh.ReceiveHeartbeat(w.now, n.ip, heartbeat)
-				}
-			}
-		})
-		for _, id := range n.mesh.ExpireWork(w.now) {
-			n.notifyPending(id, concurrency.Refuse)
+		w.schedule(time.Duration(w.random.Int64N(int64(mesh.HeartbeatInterval))), n.exchangeMessages)
+	}
+}
+
+// exchangeMessages sends the messages of n that are due, after a new plan once per heartbeat
+// interval, and expires its queued requests.
+func (n *node) exchangeMessages() {
+	n.updatePlan()
+	for _, m := range n.mesh.DueMessages(n.w.now) {
+		n.w.send(n, m)
+	}
+	for _, id := range n.mesh.ExpireWork(n.w.now) {
+		n.notifyPending(id, concurrency.Refuse)
+	}
+	n.startPendingWork()
+	n.exchanges++
+	n.w.schedule(mesh.ExchangeInterval, n.exchangeMessages)
+}
+
+func (n *node) updatePlan() {
+	switch {
+	case n.w.spec.DisableEntryAdmission:
+	case n.exchanges%int(mesh.HeartbeatInterval/mesh.ExchangeInterval) == 0:
+		n.mesh.UpdatePlan(n.w.now)
+	default:
+		n.mesh.Replan(n.w.now)
+	}
+}
+
+// send delivers a message of n to its recipients.
+func (w *world) send(n *node, m mesh.Outgoing) {
+	for _, ip := range m.To {
+		if to := w.nodesByIP[ip]; to != nil {
+			w.schedule(hopDelay, func() { to.mesh.ReceiveMessage(w.now, n.ip, m.Message) })
 		}
-		n.startPendingWork()
 	}
-	w.schedule(mesh.HeartbeatInterval, w.exchangeHeartbeats)
 }
 
 // scheduleNextRequest schedules the next request of a demand, after an
--- a/node/sidecar/heartbeat_test.go
+++ b/node/sidecar/heartbeat_test.go
@@ -4,8 +4,6 @@
 	"math"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/shallotspool/shallotspool/core/mesh"
 )
 
@@ -20,9 +18,16 @@
 			Root: math.MaxUint32, Priority: math.MaxInt8, Idempotent: true, Offered: 0.1, Admitted: 0.1, Served: 0.1, ReturnedPercent: 100,
 		})
 	}
-	encoded, err := cbor.Marshal(h)
-	if err != nil || len(encoded) > maxHeartbeatBytes {
-		t.Fatalf("%d bytes and error %v, want at most %d bytes", len(encoded), err, maxHeartbeatBytes)
+	checkFitsInDatagram(t, h)
+}
+
+// checkFitsInDatagram checks the size of a heartbeat in both formats.
+func checkFitsInDatagram(t *testing.T, h mesh.Heartbeat) {
+	for _, legacy := range []bool{false, true} {
+		encoded, err := encodeMessage(&mesh.Outgoing{Legacy: legacy, Message: mesh.Message{Version: mesh.MessageVersion, Heartbeat: &h}})
+		if err != nil || len(encoded) > mesh.MaxMessageBytes {
+			t.Errorf("legacy format %v: %d bytes and error %v, want at most %d bytes", legacy, len(encoded), err, mesh.MaxMessageBytes)
+		}
 	}
 }
 
@@ -41,8 +46,5 @@
 	for i := range 500 {
 		h.Crashes = append(h.Crashes, mesh.CrashStat{Fingerprint: math.MaxUint64 - uint64(i), Crashes: 2, AgeMS: math.MaxUint32, Trials: 9})
 	}
-	encoded, err := cbor.Marshal(h.For(mesh.DueHeartbeat{Partial: true, CrashPage: 3}))
-	if err != nil || len(encoded) > maxHeartbeatBytes {
-		t.Fatalf("%d bytes and error %v, want at most %d bytes", len(encoded), err, maxHeartbeatBytes)
-	}
+	checkFitsInDatagram(t, h.For(mesh.DueHeartbeat{Partial: true, CrashPage: 3}))
 }
--- a/node/sidecar/logs.go
+++ b/node/sidecar/logs.go
@@ -78,6 +78,9 @@
 		case mesh.EventRequestBlocked, mesh.EventRequestCleared:
 			s.log.Info(e.Kind.String(), fingerprintField(e.Fingerprint), field("crashes", e.Crashes), field("instance", e.Instance))
 			continue
+		case mesh.EventRelayFollowed:
+			s.log.Info(e.Kind.String(), field("instance", e.Instance), field("data_centre", e.DataCentre))
+			continue
 		case mesh.EventLimitNamed, mesh.EventLimitLifted, mesh.EventUpstreamLeaving:
 			s.log.Info(e.Kind.String(), field("instance", e.Instance), field("limit_per_second", e.RateLimit))
 			continue
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -121,8 +121,8 @@
 		return nil, err
 	}
 	sc.tasks.Go(sc.runStoreReads)
-	sc.tasks.Go(sc.receiveHeartbeats)
-	sc.tasks.Go(sc.runHeartbeats)
+	sc.tasks.Go(sc.receiveMessages)
+	sc.tasks.Go(sc.runMessages)
 	sc.tasks.Go(sc.watchSettings)
 	sc.tasks.Go(func() { sc.runEvery(tickInterval, sc.tick) })
 	sc.tasks.Go(func() { sc.runEvery(pruneInterval, sc.pruneConnections) })
--- a/node/sidecar/stop.go
+++ b/node/sidecar/stop.go
@@ -27,7 +27,7 @@
 	s.node.Leave()
 	s.mu.Unlock()
 	s.log.Info("stopping", field("active", s.activeRequests.Load()))
-	s.sendHeartbeats()
+	s.sendMessages(true)
 	s.callerListener.Drain()
 	s.peerListener.Drain()
 	timeout := s.settings.Load().gracePeriod() - shutdownReserve
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -40,13 +40,16 @@
 	s.markStoreLost()
 	for s.ctx.Err() == nil {
 		s.mu.Lock()
-		follows := s.node.ShouldFollow(s.now())
+		follows, due := s.node.ShouldFollow(s.now()), s.node.ReadDue(s.now())
 		s.mu.Unlock()
-		if follows {
+		switch {
+		case follows:
 			r.followReaders()
-			continue
+		case due:
+			r.readOnce()
+		default:
+			s.sleepWithJitter(mesh.ExchangeInterval)
 		}
-		r.readOnce()
 	}
 }
 
