--- a/core/mesh/message.go
+++ b/core/mesh/message.go
@@ -149,17 +149,15 @@
 
 // The largest encoded sizes, in bytes, of the parts of a message.
 const (
-	messageHeaderBytes   = 60
-	coveredBytes         = 2
-	serviceSumBytes      = 3 + 5*5 + 2 + 2
-	capacityStatBytes    = 8
-	rootStatBytes        = 16
-	demandStatBytes      = 28
-	instanceStateBytes   = 1 + 2 + 9 + 2 + 3*3 + 2 + 1
-	routeStatBytes       = 15
-	storeReaderBytes     = 1 + 2 + 3*9 + 5
-	instanceCrashesBytes = 1 + 2 + 9 + 2
-	crashStatBytes       = 19
+	messageHeaderBytes = 60
+	coveredBytes       = 2
+	serviceSumBytes    = 3 + 5*5 + 2 + 2
+	capacityStatBytes  = 8
+	rootStatBytes      = 16
+	demandStatBytes    = 28
+	instanceStateBytes = 1 + 2 + 9 + 2 + 3*3 + 2 + 1
+	routeStatBytes     = 15
+	storeReaderBytes   = 1 + 2 + 3*9 + 5
 )
 
 func (s *ServiceSum) bytes() int {
@@ -172,10 +170,6 @@
 
 func (r *StoreReader) bytes() int { return storeReaderBytes + len(r.Address) }
 
-func (c *InstanceCrashes) bytes() int {
-	return instanceCrashesBytes + len(c.Address) + len(c.Crashes)*crashStatBytes
-}
-
 // Outgoing is a message and the instances to which it is to be sent.
 type Outgoing struct {
 	To      []string
