--- a/core/mesh/exchange_fleet_test.go
+++ b/core/mesh/exchange_fleet_test.go
@@ -45,6 +45,9 @@
 	// stands still while it is paused.
 	offset time.Duration
 	slots  int
+	// demandPerTick is the number of requests that callers send to the node in each
+	// ExchangeInterval.
+	demandPerTick int
 }
 
 type delivery struct {
@@ -146,6 +149,9 @@
 func (f *exchangeFleet) tick(m *exchangeMember, at time.Duration) {
 	f.deliver(at)
 	now := at - m.offset
+	for i := range m.demandPerTick {
+		m.node.StartCall(now, IncomingRequest{ID: fmt.Sprint(m.ip, now, i), Host: "h", Path: "/front/1", Fingerprint: uint64(i), Timeout: time.Second})
+	}
 	if (f.now/ExchangeInterval)%4 == time.Duration(len(m.ip)+int(m.ip[len(m.ip)-1]))%4 {
 		m.node.UpdatePlan(now)
 	} else {
--- a/core/mesh/relay_test.go
+++ b/core/mesh/relay_test.go
@@ -263,3 +263,107 @@
 		}
 	}
 }
+
+// TestControlTraffic guards against an exchange that costs a node more with every node of the
+// fleet. 20 KB/s is what the users allow for all control, sent and received together; the
+// acting relays are checked by TestControlTrafficOfRelays.
+func TestControlTraffic(t *testing.T) {
+	for _, size := range []struct{ nodes, dataCentres int }{{30, 5}, {100, 5}, {195, 5}, {300, 14}} {
+		t.Run(fmt.Sprint(size.nodes), func(t *testing.T) {
+			for _, m := range loadedFleet(size.nodes, size.dataCentres).members {
+				if rate := (m.sentBytes + m.receivedBytes) / measuredSeconds; !m.acting() && rate > maxControlRate {
+					t.Errorf("%s: %d bytes a second, want at most %d", m.ip, rate, maxControlRate)
+				}
+			}
+		})
+	}
+}
+
+// TestControlTrafficOfRelays guards against the same at the acting relays.
+func TestControlTrafficOfRelays(t *testing.T) {
+	for _, m := range loadedFleet(195, 5).members {
+		if rate := (m.sentBytes + m.receivedBytes) / measuredSeconds; m.acting() && rate > maxControlRate {
+			t.Errorf("%s: %d bytes a second, want at most %d", m.ip, rate, maxControlRate)
+		}
+	}
+}
+
+// TestTrafficBetweenDataCentres guards against traffic between data centres that grows with
+// their nodes: three times the nodes may cost a quarter more.
+func TestTrafficBetweenDataCentres(t *testing.T) {
+	small, large := loadedFleet(100, 5).betweenBytes, loadedFleet(300, 5).betweenBytes
+	if float64(large) > 1.25*float64(small) {
+		t.Errorf("%d bytes with 100 nodes, %d with 300", small, large)
+	}
+}
+
+const (
+	maxControlRate  = 20_000 // bytes per second
+	measuredSeconds = 5
+)
+
+func (m *exchangeMember) acting() bool { return m.node.relay.actingSince > 0 }
+
+// loadedFleet returns a fleet after some seconds near its capacity, in which its traffic was counted.
+func loadedFleet(nodes, dataCentres int) *exchangeFleet {
+	f := newExchangeFleet(nodes, dataCentres, 4)
+	f.run(3*time.Second, nil)
+	f.betweenBytes = 0
+	for _, m := range f.members {
+		m.sentBytes, m.receivedBytes = 0, 0
+	}
+	f.run(measuredSeconds*time.Second, func() {
+		for _, m := range f.members {
+			m.node.nearCapacity = true
+		}
+	})
+	return f
+}
+
+// TestNewsReachPlans guards against plans that learn of a surge or of a loss too late: within
+// 0.3 s in the data centre where it happens, and within 0.5 s in others.
+func TestNewsReachPlans(t *testing.T) {
+	for _, size := range []struct{ nodes, dataCentres int }{{12, 3}, {30, 5}, {100, 5}, {195, 5}} {
+		for seed := uint64(1); seed <= 4; seed++ {
+			t.Run(fmt.Sprintf("%d nodes, seed %d", size.nodes, seed), func(t *testing.T) {
+				f := newExchangeFleet(size.nodes, size.dataCentres, seed)
+				f.run(4*time.Second, nil)
+				// Callers of all nodes of a data centre ask for much more.
+				root := RouteID(f.table.Routes[0])
+				for _, m := range f.members {
+					if m.dataCentre == "dc0" {
+						m.demandPerTick = 40
+					}
+				}
+				start := f.now
+				knownOwn, knownOthers := time.Duration(0), time.Duration(0)
+				f.run(time.Second, func() {
+					own, others := true, true
+					for _, m := range f.members {
+						offered := 0.0
+						for _, d := range m.node.admission.fleetDemand {
+							if d.root == root {
+								offered += d.offered
+							}
+						}
+						if knows := offered > 10; m.dataCentre == "dc0" {
+							own = own && knows
+						} else {
+							others = others && knows
+						}
+					}
+					if own && knownOwn == 0 {
+						knownOwn = f.now - start
+					}
+					if others && knownOthers == 0 {
+						knownOthers = f.now - start
+					}
+				})
+				t.Logf("own %v, others %v", knownOwn, knownOthers)
+				if knownOwn == 0 || knownOwn > 300*time.Millisecond || knownOthers == 0 || knownOthers > 500*time.Millisecond {
+					t.Errorf("known to all plans after %v in the own data centre, %v in others; want 300 ms and 500 ms", knownOwn, knownOthers)
+				}
+			})
+		}
+	}
+}
