Let nodes that start leave the store to others sooner

Change: a second of rest after the first read that shows others; a follower takes over only after the discovery period.

--- a/core/mesh/store_reads.go
+++ b/core/mesh/store_reads.go
@@ -69,13 +69,17 @@
 	// read in that period: if it knows no other instance of its data centre, after the first
 	// read that shows some, and if it will probably follow.
 	firstPause  = 1500 * time.Millisecond
-	settlePause = 500 * time.Millisecond
+	settlePause = time.Second
 	followPause = time.Second
 )
 
 // ReadDue reports whether this node may read the store now, provided that ShouldFollow
-// reports false.
-func (n *Node) ReadDue(now time.Duration) bool { return now >= n.nextReadAt }
+// reports false. A node that follows others already does not take over in discoveryPeriod, in
+// which it does not hear all of them.
+func (n *Node) ReadDue(now time.Duration) bool {
+	discovering := now-n.cfg.StartedAt < discoveryPeriod
+	return now >= n.nextReadAt && !(n.following && discovering)
+}
 
 // discoveryDelay returns how long this node, after a read of the store, waits to hear from
 // nodes that read it. Just after a start nodes do not know each other. Each of them would go
