Send calls of other requests to faulty upstreams only if nothing better is left

Cause: nodes of other data centres preferred a near upstream that sheds to the sound one, as the penalties of distance and faults multiply; and one call in twenty was sent to a faulty upstream to see whether it had recovered, also when the node's part of the retries was spent. Ruled out: the bound on all retries (never nearer than 49), capacity of the sound upstream. Change: a faulty upstream gets the penalty of distance wherever it is; calls made for another request are not risked unless they can be sent again.

--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -135,11 +135,15 @@
 	return nil, nil
 }
 
-// retest returns, for a small share of calls, a faulty upstream that has room.
+// retest returns, for a small share of calls, a faulty upstream that has room. A call for
+// another request is not risked unless it can be sent again.
 func (n *Node) retest(now time.Duration, c *Call, list []*registry.Upstream) (*registry.Upstream, *peer) {
 	if len(list) == 0 || !c.Route.Idempotent || len(c.tried) > 0 || n.random.Float64() >= retestShare {
 		return nil, nil
 	}
+	if c.FromUpstream && !n.retryAllowed(now, c) {
+		return nil, nil
+	}
 	start := n.random.IntN(len(list))
 	for i := range list {
 		u := list[(start+i)%len(list)]
@@ -187,7 +191,9 @@
 	if now < u.ColdUntil {
 		cost *= coldCost
 	}
-	if u.DataCentre != n.cfg.DataCentre && !n.unmeasured(c, u, p) {
+	// A faulty upstream gets the penalty wherever it is: that it is near is no reason to prefer
+	// it to a sound one.
+	if faultShare >= faultyThreshold || u.DataCentre != n.cfg.DataCentre && !n.unmeasured(c, u, p) {
 		cost *= 1 + remotePenalty
 	}
 	return cost
--- a/harness/loadpattern/node.go
+++ b/harness/loadpattern/node.go
@@ -61,7 +61,7 @@
 			done(mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonBusy, Load: n.mesh.Load(), LoadKnown: true})
 			return
 		}
-		if n.recordArrival(call, work); n.w.now >= n.service.ShedStart && n.w.random.Float64() < n.shedRatio {
+		if n.recordArrival(call, work); n.sheds() && n.w.random.Float64() < n.shedRatio {
 			n.mesh.WorkDone(n.w.now, work, 0, mesh.RunShed)
 			n.startPendingWork()
 			done(mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonShed, ReachedUpstream: true, Load: n.mesh.Load(), LoadKnown: true})
@@ -81,6 +81,11 @@
 	}
 }
 
+// sheds reports whether the upstreams of the node's service shed at this time.
+func (n *node) sheds() bool {
+	return n.w.now >= n.service.ShedStart && (n.service.ShedEnd == 0 || n.w.now < n.service.ShedEnd)
+}
+
 // recordArrival records the arrival of a request at the node's own upstream, as a
 // first run or as a retry.
 func (n *node) recordArrival(call *mesh.Call, work mesh.Work) {
--- a/harness/loadpattern/world.go
+++ b/harness/loadpattern/world.go
@@ -58,8 +58,9 @@
 	// ShedRatios holds the ratio of requests that each upstream rejects without
 	// running them and repeats if there are more upstreams; empty means 0 for all.
 	ShedRatios []float64
-	// ShedStart is the time at which the upstreams start to shed.
-	ShedStart time.Duration
+	// ShedStart is the time at which the upstreams start to shed, ShedEnd the one at which they
+	// stop; 0 means never.
+	ShedStart, ShedEnd time.Duration
 	// RateLimits holds the requests per second that each upstream names as its limit, 0
 	// for none, and repeats if there are more upstreams; empty means none for all.
 	RateLimits []float64
@@ -120,6 +121,8 @@
 	nodesByIP map[string]*node
 	lastID    int
 	results   map[Origin]*Result
+	// byPeriod holds the results of requests by class and by the second in which they entered.
+	byPeriod map[Period]*Result
 	// firstRuns and retries hold, by service, the times at which first runs and
 	// retries arrived at its upstreams.
 	firstRuns, retries map[string][]time.Duration
@@ -131,6 +134,21 @@
 // Origin is where requests of one class enter.
 type Origin struct{ Class, DataCentre string }
 
+// Period is one second in which requests of one class enter.
+type Period struct {
+	Class  string
+	Second int
+}
+
+// period returns the results of the requests of a class that enter now.
+func (w *world) period(class string, at time.Duration) *Result {
+	key := Period{class, int(at / time.Second)}
+	if w.byPeriod[key] == nil {
+		w.byPeriod[key] = &Result{}
+	}
+	return w.byPeriod[key]
+}
+
 // node is one instance: a mesh.Node and its upstream.
 type node struct {
 	w          *world
@@ -172,12 +190,27 @@
 	return results
 }
 
+// RunByPeriod runs a simulation and returns the results of callers by class and by the second in
+// which their requests entered, and the excess of retries as ExcessRetries does.
+func RunByPeriod(spec Spec) (results map[Period]Result, excessRetries float64) {
+	_, w := simulate(spec)
+	results = map[Period]Result{}
+	for period, r := range w.byPeriod {
+		results[period] = *r
+	}
+	return results, w.excessRetries()
+}
+
 // ExcessRetries runs a simulation and returns the largest excess of retries over
 // the retry bound, of any service and any window; a negative value means that the
 // bound was kept. Each window ends just before a retry, so that none extends
 // beyond the end of the run.
 func ExcessRetries(spec Spec) float64 {
 	_, w := simulate(spec)
+	return w.excessRetries()
+}
+
+func (w *world) excessRetries() float64 {
 	worst := -retryBounds.Slack
 	for service, retries := range w.retries {
 		for _, at := range retries {
@@ -222,7 +255,7 @@
 func simulate(spec Spec) (map[string]Result, *world) {
 	w := &world{
 		spec: spec, random: rand.New(rand.NewPCG(spec.Seed, 3)),
-		classes: map[string]*Class{}, nodesByIP: map[string]*node{}, results: map[Origin]*Result{},
+		classes: map[string]*Class{}, nodesByIP: map[string]*node{}, results: map[Origin]*Result{}, byPeriod: map[Period]*Result{},
 		firstRuns: map[string][]time.Duration{}, retries: map[string][]time.Duration{}, seenCalls: map[string]bool{},
 	}
 	w.buildNodes()
@@ -346,6 +379,7 @@
 	w.schedule(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
 		n := w.nodes[w.random.IntN(len(w.nodes))]
 		w.results[Origin{d.Class, n.dataCentre}].Offered++
+		w.period(d.Class, w.now).Offered++
 		sender := w.newID()
 		content := sender
 		if w.spec.SameContent {
@@ -365,23 +399,32 @@
 // sendRequest sends a caller's request to n. firstSent is the time at which the
 // caller first sent it; retry allows one more send after a refusal.
 func (w *world) sendRequest(class string, n *node, firstSent time.Duration, from source, retry bool) {
-	c, r := w.classes[class], w.results[Origin{class, n.dataCentre}]
+	c := w.classes[class]
 	n.startCall(c, w.newID(), from, "", 0, func(step mesh.Step, ok bool) {
-		switch {
-		case ok && w.now-firstSent <= c.LatencyGoal:
-			r.Served++
-		case ok:
-			r.Late++
-		case step.Kind == mesh.StepRefuse && retry:
+		if !ok && step.Kind == mesh.StepRefuse && retry {
 			w.schedule(step.RetryAfter, func() { w.sendRequest(class, n, firstSent, from, false) })
-		case step.Kind == mesh.StepRefuse:
-			r.Refused++
-		default:
-			r.Failed++
+			return
+		}
+		for _, r := range []*Result{w.results[Origin{class, n.dataCentre}], w.period(class, firstSent)} {
+			r.count(step, ok, w.now-firstSent <= c.LatencyGoal)
 		}
 	})
 }
 
+// count counts a request by its last step.
+func (r *Result) count(step mesh.Step, ok, inTime bool) {
+	switch {
+	case ok && inTime:
+		r.Served++
+	case ok:
+		r.Late++
+	case step.Kind == mesh.StepRefuse:
+		r.Refused++
+	default:
+		r.Failed++
+	}
+}
+
 func (w *world) newID() string {
 	w.lastID++
 	return fmt.Sprint(w.lastID)
