Let nodes tell earlier versions from those that only use their format

What it would have done: after an upgrade, two nodes that each took the other for one of the version before went on to exchange heartbeats in the old format for ever; neither became a relay for the other, and plans lacked whole data centres. Found by the new upgrade test, not by callers. Cause: a heartbeat in the old format says nothing of what its sender knows. Change: such heartbeats of nodes that know versions have an interval with one nanosecond more.

--- a/core/mesh/exchange_fleet_test.go
+++ b/core/mesh/exchange_fleet_test.go
@@ -48,6 +48,11 @@
 	// demandPerTick is the number of requests that callers send to the node in each
 	// ExchangeInterval.
 	demandPerTick int
+	// earlier is set for an instance whose node knows no relays. It does nothing but send its
+	// heartbeat to all others and note from which of them heartbeats came.
+	earlier bool
+	sentAt  time.Duration
+	heard   map[string]time.Duration
 }
 
 type delivery struct {
@@ -148,6 +153,10 @@
 // tick lets a node plan and send its messages.
 func (f *exchangeFleet) tick(m *exchangeMember, at time.Duration) {
 	f.deliver(at)
+	if m.earlier {
+		f.tickEarlier(m, at)
+		return
+	}
 	now := at - m.offset
 	for i := range m.demandPerTick {
 		m.node.StartCall(now, IncomingRequest{ID: fmt.Sprint(m.ip, now, i), Host: "h", Path: "/front/1", Fingerprint: uint64(i), Timeout: time.Second})
@@ -158,7 +167,11 @@
 		m.node.Replan(now)
 	}
 	for _, out := range m.node.DueMessages(now) {
-		data, err := cbor.Marshal(out.Message)
+		var encoded any = out.Message
+		if out.Legacy {
+			encoded = LegacyHeartbeat(*out.Message.Heartbeat)
+		}
+		data, err := cbor.Marshal(encoded)
 		if err != nil || len(data) > MaxMessageBytes {
 			panic(fmt.Sprintf("message of %d bytes, error %v", len(data), err))
 		}
@@ -168,6 +181,28 @@
 	}
 }
 
+// earlierInterval is the interval of heartbeats of nodes that know no relays.
+const earlierInterval = time.Second
+
+// tickEarlier sends the heartbeat of a node that knows no relays.
+func (f *exchangeFleet) tickEarlier(m *exchangeMember, at time.Duration) {
+	if at < m.sentAt+earlierInterval {
+		return
+	}
+	m.sentAt = at
+	data, err := cbor.Marshal(LegacyHeartbeat{
+		Incarnation: m.incarnation, Interval: earlierInterval, Service: m.service, Load: Load{Limit: concurrencyLimit(m.slots)},
+	})
+	if err != nil {
+		panic(err)
+	}
+	for _, other := range f.members {
+		if other != m {
+			f.send(m, other, at, data)
+		}
+	}
+}
+
 const testDatagramHeader = 28
 
 func (f *exchangeFleet) send(from, to *exchangeMember, at time.Duration, data []byte) {
@@ -206,11 +241,30 @@
 			continue
 		}
 		d.to.receivedBytes += len(d.data) + testDatagramHeader
-		var m Message
-		if err := cbor.Unmarshal(d.data, &m); err != nil {
+		d.to.receive(d.at-d.to.offset, d.from.ip, d.data)
+	}
+}
+
+// receive passes a datagram to the node.
+func (m *exchangeMember) receive(now time.Duration, from string, data []byte) {
+	const cborArray = 4
+	isArray := data[0]>>5 == cborArray
+	var message Message
+	var legacy LegacyHeartbeat
+	switch {
+	case m.earlier && isArray:
+		m.heard[from] = now
+	case m.earlier:
+	case isArray:
+		if err := cbor.Unmarshal(data, &legacy); err != nil {
+			panic(err)
+		}
+		m.node.ReceiveLegacyHeartbeat(now, from, Heartbeat(legacy))
+	default:
+		if err := cbor.Unmarshal(data, &message); err != nil {
 			panic(err)
 		}
-		d.to.node.ReceiveMessage(d.at-d.to.offset, d.from.ip, m)
+		m.node.ReceiveMessage(now, from, message)
 	}
 }
 
--- a/core/mesh/relay.go
+++ b/core/mesh/relay.go
@@ -262,6 +262,9 @@
 	n.relay.crashes.put(now, n.cfg.Instance, n.cfg.Incarnation, crashPage(heartbeat.Crashes, kinds[0].CrashPage))
 	for _, kind := range kinds {
 		h := heartbeat.For(kind)
+		if kind.Legacy {
+			h.Interval += versionedMark
+		}
 		out = append(out, Outgoing{To: recipients[kind], Message: Message{Version: MessageVersion, Heartbeat: &h}, Legacy: kind.Legacy})
 	}
 	return out
--- a/core/mesh/relay_receive.go
+++ b/core/mesh/relay_receive.go
@@ -102,13 +102,21 @@
 	n.planStale = n.planStale || m.Urgent
 }
 
-// ReceiveLegacyHeartbeat processes a heartbeat of a node that knows no relays. Heartbeats are
-// sent to it in its own format from now on.
+// ReceiveLegacyHeartbeat processes a heartbeat in the format of LegacyHeartbeat. Heartbeats are
+// sent to its sender in that format from now on, unless the sender only used it because it takes
+// this node for one that knows no other.
 func (n *Node) ReceiveLegacyHeartbeat(now time.Duration, from string, h Heartbeat) {
 	n.ReceiveHeartbeat(now, from, h)
 	n.peer(from).legacyAt = now
+	if h.Interval%time.Millisecond == versionedMark {
+		n.peer(from).legacyAt = 0
+	}
 }
 
+// versionedMark is added to the interval in heartbeats in the format of LegacyHeartbeat by nodes
+// that know versions. Intervals of the others are whole milliseconds.
+const versionedMark = time.Nanosecond
+
 // applySums takes over the sums of a message.
 func (n *Node) applySums(now time.Duration, m *Message) {
 	if m.Nodes == 0 {
