Pass over late second copies of answers in the daemon

What callers would see: another caller's answer, when an upstream sends an answer a second time on a connection that is in use again. Sought because operators of similar systems met it; the sidecar checks request ids, the daemon accepted any response. Cause: HTTP/1.1 does not say which request a response belongs to, and nothing else did. Change: an upstream that copies Shallot-Parent into its answers is protected: a response that names another dispatch is skipped and its connection not used again.

--- a/node/internal/attempt/executor.go
+++ b/node/internal/attempt/executor.go
@@ -88,9 +88,10 @@
 		req := fasthttp.AcquireRequest()
 		defer fasthttp.ReleaseRequest(req)
 		setRequest(req, a.Request, e.cfg.UpstreamAddress)
-		req.Header.Set(header.Parent, header.FormatParent(e.cfg.Incarnation, a.Attempt))
+		parent := header.FormatParent(e.cfg.Incarnation, a.Attempt)
+		req.Header.Set(header.Parent, parent)
 		setTimeoutField(req, a.Timeout)
-		e.exchange(a.Attempt, attempt, e.upstream, req, a.Timeout, readUpstreamReply)
+		e.exchange(a.Attempt, attempt, e.upstream, req, a.Timeout, replyReader{read: readUpstreamReply, belongs: belongsTo(parent)})
 	}
 }
 
@@ -110,7 +111,7 @@
 		defer fasthttp.ReleaseRequest(req)
 		setRequest(req, a.Request, p.Address())
 		setPeerHeader(req, a)
-		e.exchange(a.Attempt, attempt, p, req, a.Timeout, readPeerReply)
+		e.exchange(a.Attempt, attempt, p, req, a.Timeout, replyReader{read: readPeerReply})
 	}
 }
 
@@ -119,13 +120,27 @@
 // ended.
 func (e *Executor) Cancel(id engine.AttemptID) { e.openAttempts.cancel(id) }
 
-// replyReader converts an HTTP response to a reply for the engine.
-type replyReader func(*fasthttp.Response) (engine.Reply, error)
+// replyReader reads the reply to a request.
+type replyReader struct {
+	// belongs reports whether a response is the one to the request; nil accepts any.
+	belongs func(*fasthttp.ResponseHeader) bool
+	// read converts the HTTP response to a reply for the engine.
+	read func(*fasthttp.Response) (engine.Reply, error)
+}
+
+// belongsTo accepts the responses that name the dispatch with this value of
+// header.Parent, and those that name none: upstreams need not copy it.
+func belongsTo(parent string) func(*fasthttp.ResponseHeader) bool {
+	return func(h *fasthttp.ResponseHeader) bool {
+		named := h.Peek(header.Parent)
+		return len(named) == 0 || string(named) == parent
+	}
+}
 
 // exchange sends a request on a connection of p, reads the response and reports
 // the result to the engine. It reports none if it finds the attempt cancelled once
 // it has a connection or at the end of the exchange of request and response.
-func (e *Executor) exchange(id engine.AttemptID, attempt *openAttempt, p *pool.Pool, req *fasthttp.Request, timeout time.Duration, read replyReader) {
+func (e *Executor) exchange(id engine.AttemptID, attempt *openAttempt, p *pool.Pool, req *fasthttp.Request, timeout time.Duration, reader replyReader) {
 	conn, err := p.Get(min(timeout, maxDialTime))
 	if err != nil {
 		e.handleFailure(id, p, engine.FailureNotSent, err)
@@ -138,7 +153,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	_ = conn.SetDeadline(time.Now().Add(timeout + deadlineGrace))
-	err = conn.Exchange(req, resp, e.cfg.MaxBodyBytes)
+	err = conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: e.cfg.MaxBodyBytes, BelongsToRequest: reader.belongs})
 	if !attempt.detachConn() {
 		p.Discard(conn)
 		return
@@ -153,7 +168,7 @@
 		return
 	}
 	e.releaseConn(p, conn, resp)
-	reply, err := read(resp)
+	reply, err := reader.read(resp)
 	if err != nil {
 		e.handleFailure(id, p, engine.FailureLost, err)
 		return
