Refuse the state of another node if it could not be used

What could happen: one malformed table in the state that a follower fetches from a reader ended its process with the first request for that route, and at every node that fetched it. Cause: tables read from the store are checked, those taken over from nodes were not.

--- a/core/mesh/validate.go
+++ b/core/mesh/validate.go
@@ -105,3 +105,25 @@
 		c.figures("demand", s.Offered, s.Admitted, s.Served)
 	}
 }
+
+// maxStateEntries bounds the registrations in the state of a node.
+const maxStateEntries = 20_000
+
+// Validate returns an error marked with ErrInvalidMessage if the state contains a table or a
+// registration that this node could not use.
+func (s *StoreState) Validate() error {
+	if max(len(s.Upstreams), len(s.Present), len(s.Removals)) > maxStateEntries {
+		return errors.Mark(errors.Newf("more than %d registrations", maxStateEntries), ErrInvalidMessage)
+	}
+	if s.Table != nil {
+		if err := s.Table.Validate(); err != nil {
+			return errors.Mark(err, ErrInvalidMessage)
+		}
+	}
+	for i := range s.Upstreams {
+		if err := s.Upstreams[i].Validate(); err != nil {
+			return errors.Mark(err, ErrInvalidMessage)
+		}
+	}
+	return nil
+}
--- a/node/sidecar/state_sync.go
+++ b/node/sidecar/state_sync.go
@@ -95,9 +95,17 @@
 	if resp.StatusCode() != http.StatusOK {
 		return state, errors.Mark(errors.Newf("node returned status %d", resp.StatusCode()), errInvalidState)
 	}
-	if err := cbor.Unmarshal(resp.Body(), &state); err != nil {
+	return decodeState(resp.Body())
+}
+
+// decodeState decodes the state of another node. Its error is marked with errInvalidState.
+func decodeState(data []byte) (state mesh.StoreState, err error) {
+	if err := cbor.Unmarshal(data, &state); err != nil {
 		return state, errors.Mark(errors.Wrap(err, "decode state"), errInvalidState)
 	}
+	if err := state.Validate(); err != nil {
+		return mesh.StoreState{}, errors.Mark(err, errInvalidState)
+	}
 	if state.Table != nil {
 		state.Table.BuildIndex()
 	}
