--- a/core/mesh/doc.go
+++ b/core/mesh/doc.go
@@ -30,10 +30,18 @@
 //
 // # Heartbeats
 //
-// Each node tells every other one its load, fault share, run times per route, use of
-// slots per root route, demand of callers, first runs and retries, recent crashes, how
+// Each node tells the relays of its data centre its load, fault share, run times per route,
+// use of slots per root route, demand of callers, first runs and retries, recent crashes, how
 // current its store state is and whether it is about to stop. Partial heartbeats omit run
-// times, use and demand. Once per HeartbeatInterval, UpdatePlan derives from them:
+// times, use and demand. In a data centre of up to maxDirectNodes all nodes tell each other.
+//
+// The acting relay sends a round every relayInterval, or earlier if much has changed: to the
+// nodes of its data centre the sums of the heartbeats there, the sums of all other data
+// centres and the states of instances by turns; to the acting relay of each other data centre
+// the sums and states of its own. A relay that finds a round missing sends one itself. See
+// DueMessages, ReceiveMessage and docs/design/exchange.md.
+//
+// Once per HeartbeatInterval, UpdatePlan derives from the sums:
 //   - Shares. The use of slots divided by the admitted demand is the load per request.
 //     From it each node computes the same way which share of each route's demand fits
 //     into the slots of all services: first the minimum of every route, a part of what is
@@ -46,9 +54,9 @@
 // The other uses need no plan. An attempt goes to the cheapest of a few upstreams, by run
 // time, load, fault share and data centre. A request that ran at two
 // crashes and has not completed since is refused at each node, but for a few trials; see
-// package suspect. A node that missed more than four heartbeats
-// (maxMissedHeartbeats) is silent. A silent or ejected node gets requests only if no other
-// is usable, or as a probe if ejected. Its slots do not count, and a service whose nodes
+// package suspect. A node is silent if the acting relay of its data centre missed more than
+// four heartbeats (maxMissedHeartbeats) and says so, or if no news of it came for longer. A
+// silent or ejected node gets requests only if no other is usable, or as a probe if ejected. Its slots do not count, and a service whose nodes
 // are all silent has none.
 //
 // # Store state
@@ -76,6 +84,10 @@
 //   - fault share: the share of an upstream's runs that failed because of itself.
 //   - retry: an attempt after one that reached an upstream, or a call made for its run.
 //   - induced retry: a call to a service caused by a retry at another service.
+//   - relay, acting relay: a node that gets the heartbeats of its data centre, and the one of
+//     them that sends rounds at the moment.
+//   - round: the messages that a relay sends at one time.
+//   - member: a node of the own data centre.
 //   - reader, follower: a node that reads the store, or leaves that to the readers.
 //   - position: an era and a revision of the store.
 //   - digest: a hash of a node's set of registrations.
