Let the cost of a plan grow with the services that routes use

Cause: shares looked at every service for each route, three times; members and relays of a data centre were sorted anew in each call. Change: loads are kept by route for the services that it uses; the order of relays is computed when registrations change. Relays that speak for another data centre are ignored.

--- a/core/mesh/admission.go
+++ b/core/mesh/admission.go
@@ -43,11 +43,8 @@
 // they use have capacity for, the most important first.
 type admission struct {
 	demand map[uint32]*routeDemand
-	// requestLoads holds, for each root route and service, the load per request: the
-	// mean number of slots that one request per second keeps in use. visits holds the
-	// number of runs at the service per request.
-	requestLoads map[rootServiceKey]*smoothedRatio
-	visits       map[rootServiceKey]*smoothedRatio
+	// loads holds, by root route, the loads of its requests at the services that they use.
+	loads map[uint32]routeLoads
 	// services is the view of each service as of the last plan.
 	services map[string]*serviceView
 	// fleetDemand is the demand at all nodes as of the last plan.
@@ -55,14 +52,9 @@
 	lastPlanAt  time.Duration
 }
 
-type rootServiceKey struct {
-	root    uint32
-	service string
-}
-
 func newAdmission() admission {
 	return admission{
-		demand: map[uint32]*routeDemand{}, requestLoads: map[rootServiceKey]*smoothedRatio{}, visits: map[rootServiceKey]*smoothedRatio{},
+		demand: map[uint32]*routeDemand{}, loads: map[uint32]routeLoads{},
 		services: map[string]*serviceView{},
 	}
 }
--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -295,15 +295,16 @@
 // service, estimated from the runs for its root route. known is false while there are
 // too few observations.
 func (n *Node) inducedCosts(c *Call) (costs map[string]float64, known bool) {
-	own := n.admission.visits[rootServiceKey{c.Rank.Root, c.Service}]
-	ownVisits := own.get()
-	if ownVisits == 0 || own.samples < minObservations {
+	loads := n.admission.loads[c.Rank.Root]
+	own := loads[c.Service]
+	if own == nil || own.visits.get() == 0 || own.visits.samples < minObservations {
 		return nil, false
 	}
+	ownVisits := own.visits.get()
 	costs = map[string]float64{}
-	for service := range n.admission.services {
-		otherVisits := n.admission.visits[rootServiceKey{c.Rank.Root, service}].get()
-		if service != c.Service && otherVisits >= minDownstreamRatio*ownVisits {
+	for service, other := range loads {
+		otherVisits := other.visits.get()
+		if service != c.Service && n.admission.services[service] != nil && otherVisits >= minDownstreamRatio*ownVisits {
 			costs[service] = otherVisits / ownVisits
 		}
 	}
--- a/core/mesh/loads.go
+++ b/core/mesh/loads.go
@@ -22,32 +22,79 @@
 	minServedShare = 0.8
 )
 
+// routeLoads holds, for one root route, its loads by service. It has no entries for services that
+// the route does not use.
+type routeLoads map[string]*serviceLoad
+
+// serviceLoad is the load that requests of one route cause at one service.
+type serviceLoad struct {
+	// perRequest is the mean number of slots that one request per second keeps in use, visits
+	// the mean number of runs per request.
+	perRequest, visits smoothedRatio
+}
+
+// maxLoads bounds the routes and services for which loads are kept.
+const maxLoads = maxRoots * maxRunRoutes
+
 // updateLoads updates the load per request and the visits that the admitted requests of
 // each route cause at each service.
 func (a *admission) updateLoads(demand []fleetDemand) {
-	if len(a.requestLoads) > maxRoots*maxRunRoutes {
-		clear(a.requestLoads)
-		clear(a.visits)
+	if a.loadCount() > maxLoads {
+		clear(a.loads)
 	}
+	admitted := map[uint32]fleetDemand{}
 	for _, d := range demand {
-		if d.admitted < minVisitRate {
-			continue
+		if d.admitted >= minVisitRate {
+			admitted[d.root] = d
 		}
-		for name, v := range a.services {
-			key := rootServiceKey{d.root, name}
-			unobserved := v.slotsInUse[d.root] == 0 && a.visits[key] == nil
-			if unobserved || v.slots == 0 {
-				continue
+	}
+	for name, v := range a.services {
+		for root, slotsInUse := range v.slotsInUse {
+			if d, ok := admitted[root]; ok && slotsInUse != 0 && v.slots != 0 {
+				a.loadsOf(root).at(name).observe(d, slotsInUse, v.runRates[root])
 			}
-			complete := d.served >= minServedShare*d.admitted
-			if d.admitted >= minLoadRate {
-				observe(a.requestLoads, key, v.slotsInUse[d.root], d.admitted, complete)
+		}
+	}
+	// Services that a route uses no longer.
+	for root, d := range admitted {
+		for name, l := range a.loads[root] {
+			if v := a.services[name]; v != nil && v.slots != 0 && v.slotsInUse[root] == 0 {
+				l.observe(d, 0, v.runRates[root])
 			}
-			observe(a.visits, key, v.runRates[d.root], d.admitted, complete)
 		}
 	}
 }
 
+func (a *admission) loadCount() (count int) {
+	for _, loads := range a.loads {
+		count += len(loads)
+	}
+	return count
+}
+
+func (a *admission) loadsOf(root uint32) routeLoads {
+	if a.loads[root] == nil {
+		a.loads[root] = routeLoads{}
+	}
+	return a.loads[root]
+}
+
+func (r routeLoads) at(service string) *serviceLoad {
+	if r[service] == nil {
+		r[service] = &serviceLoad{}
+	}
+	return r[service]
+}
+
+// observe adds what the admitted requests of a route caused at a service in one interval.
+func (l *serviceLoad) observe(d fleetDemand, slotsInUse, runRate float64) {
+	complete := d.served >= minServedShare*d.admitted
+	if d.admitted >= minLoadRate {
+		l.perRequest.observe(slotsInUse, d.admitted, complete)
+	}
+	l.visits.observe(runRate, d.admitted, complete)
+}
+
 // smoothedRatio is the ratio of two exponentially smoothed rates. Smoothing each of them, and
 // not their ratio, keeps an interval in which hardly any requests are admitted, while those
 // admitted before still run, from counting as much as others. The first observations have a
@@ -68,12 +115,7 @@
 // observe adds one observation: an amount that a rate of admitted requests caused. complete
 // states that most requests succeeded. Failed requests make fewer calls, so that the amount
 // observed with them is only a lower bound.
-func observe(values map[rootServiceKey]*smoothedRatio, key rootServiceKey, amount, requests float64, complete bool) {
-	s := values[key]
-	if s == nil {
-		s = &smoothedRatio{}
-		values[key] = s
-	}
+func (s *smoothedRatio) observe(amount, requests float64, complete bool) {
 	weight := max(loadWeight, firstWeight-loadWeight*float64(s.samples)/2)
 	if !complete && amount < s.get()*requests {
 		weight = partialLoadWeight
--- a/core/mesh/minimum.go
+++ b/core/mesh/minimum.go
@@ -39,8 +39,8 @@
 func (a *admission) minimumShares(demand []fleetDemand, free map[string]freeSlots, part float64) map[uint32]float64 {
 	required := map[string]float64{}
 	for _, d := range demand {
-		for name := range a.services {
-			required[name] += part * d.requests() * a.requestLoads[rootServiceKey{d.root, name}].get()
+		for name, l := range a.loads[d.root] {
+			required[name] += part * d.requests() * l.perRequest.get()
 		}
 	}
 	minimums := map[uint32]float64{}
@@ -49,8 +49,9 @@
 			continue
 		}
 		fitting := 1.0
-		for name, view := range a.services {
-			limits := a.requestLoads[rootServiceKey{d.root, name}].get() > 0 && (view.slots > 0 || view.allSilent)
+		for name, l := range a.loads[d.root] {
+			view := a.services[name]
+			limits := view != nil && l.perRequest.get() > 0 && (view.slots > 0 || view.allSilent)
 			if limits && required[name] > 0 {
 				fitting = min(fitting, max(free[name].available(a.usesBestEffort(d))/required[name], 0))
 			}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -37,7 +37,9 @@
 	runTimes runTimes
 	peers    map[string]*peer
 	// instances maps each instance with a registered upstream to its data centre.
+	// byDataCentre holds these instances in the order in which they are chosen as relays.
 	instances     map[string]string
+	byDataCentre  map[string][]string
 	outlierGroups map[string]*outlierGroup
 	suspects      *suspect.Table
 	receipts      receipts
@@ -136,6 +138,7 @@
 			n.instances[u.Instance] = u.DataCentre
 		}
 	})
+	n.byDataCentre = inRelayOrder(n.instances)
 	if ownRegistration := n.ownRegistration(); ownRegistration != nil {
 		if ownRegistration.ID != n.ownRegistrationID || ownRegistration.Born != n.ownRegistrationBorn {
 			n.ownRegistrationID, n.ownRegistrationBorn = ownRegistration.ID, ownRegistration.Born
--- a/core/mesh/relay.go
+++ b/core/mesh/relay.go
@@ -111,11 +111,9 @@
 // members returns, sorted, the nodes of the own data centre, this one included: those with a
 // registered upstream, and others whose heartbeats arrive here.
 func (n *Node) members(now time.Duration) []string {
-	list := []string{n.cfg.Instance}
-	for instance, dataCentre := range n.instances {
-		if dataCentre == n.cfg.DataCentre && instance != n.cfg.Instance {
-			list = append(list, instance)
-		}
+	list := slices.Clone(n.byDataCentre[n.cfg.DataCentre])
+	if n.instances[n.cfg.Instance] != n.cfg.DataCentre {
+		list = append(list, n.cfg.Instance)
 	}
 	for instance, p := range n.peers {
 		if _, registered := n.instances[instance]; !registered && instance != n.cfg.Instance && p.reportsDirectly(now) && p.legacyAt == 0 {
@@ -130,10 +128,7 @@
 // chosen as relays. Silent and leaving ones, and those that do not know relays, are left out.
 func (n *Node) relayCandidates(now time.Duration, dataCentre string) []string {
 	var list []string
-	for instance, at := range n.instances {
-		if at != dataCentre {
-			continue
-		}
+	for _, instance := range n.byDataCentre[dataCentre] {
 		p := n.peers[instance]
 		usable := p == nil || !p.silent(now) && !p.leaving(now) && !p.legacy(now)
 		if instance == n.cfg.Instance {
@@ -143,10 +138,24 @@
 			list = append(list, instance)
 		}
 	}
-	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(relayPosition(a), relayPosition(b)) })
 	return list
 }
 
+// inRelayOrder returns the instances of each data centre in the order of relayPosition.
+// dataCentres maps instances to data centres.
+func inRelayOrder(dataCentres map[string]string) map[string][]string {
+	order := map[string][]string{}
+	for instance, dataCentre := range dataCentres {
+		order[dataCentre] = append(order[dataCentre], instance)
+	}
+	for _, list := range order {
+		slices.SortFunc(list, func(a, b string) int {
+			return cmp.Or(cmp.Compare(relayPosition(a), relayPosition(b)), cmp.Compare(a, b))
+		})
+	}
+	return order
+}
+
 // collectors returns the instances to which this node sends its heartbeats.
 func (n *Node) collectors(now time.Duration) []string {
 	members := n.members(now)
@@ -198,9 +207,9 @@
 	if direct || r.actingSince > 0 && now-r.actingSince > relaySilence {
 		return
 	}
-	for instance, dataCentre := range n.instances {
+	for _, instance := range n.byDataCentre[n.cfg.DataCentre] {
 		p := n.peers[instance]
-		if dataCentre == n.cfg.DataCentre && p != nil && p.legacyAt == 0 && p.directAt > 0 && now-p.directAt > directReportAge {
+		if p != nil && p.legacyAt == 0 && p.directAt > 0 && now-p.directAt > directReportAge {
 			p.directAt, p.heartbeat.Interval = 0, localStateInterval
 		}
 	}
@@ -397,18 +406,14 @@
 // acting relay of each. If none was heard lately, these are the first two candidates, and each
 // instance there in turn: all of them may count as silent after a cut that has ended since.
 func (n *Node) remoteRelays(now time.Duration) (list []string) {
-	byDataCentre := map[string][]string{}
-	for instance, dataCentre := range n.instances {
-		if dataCentre != n.cfg.DataCentre {
-			byDataCentre[dataCentre] = append(byDataCentre[dataCentre], instance)
+	for dataCentre, all := range n.byDataCentre {
+		if dataCentre == n.cfg.DataCentre {
+			continue
 		}
-	}
-	for dataCentre, all := range byDataCentre {
 		if source := n.relay.sources[dataCentre]; source != nil && now-source.heardAt <= relaySilence && n.instances[source.instance] == dataCentre {
 			list = append(list, source.instance)
 			continue
 		}
-		slices.Sort(all)
 		candidates := n.relayCandidates(now, dataCentre)
 		list = append(list, candidates[:min(2, len(candidates))]...)
 		list = append(list, all[int(n.relay.round)%len(all)])
--- a/core/mesh/relay_receive.go
+++ b/core/mesh/relay_receive.go
@@ -59,7 +59,8 @@
 	return false
 }
 
-// ReceiveMessage processes a message from another instance, which must be valid.
+// ReceiveMessage processes a message from another instance, which must be valid. It ignores a
+// relay that speaks for a data centre in which it is not registered.
 func (n *Node) ReceiveMessage(now time.Duration, from string, m Message) {
 	if m.Heartbeat != nil {
 		n.ReceiveHeartbeat(now, from, *m.Heartbeat)
@@ -73,6 +74,9 @@
 	if !m.fromRelay() || from == n.cfg.Instance {
 		return
 	}
+	if at, registered := n.instances[from]; registered && at != m.DataCentre {
+		return
+	}
 	source := n.relay.sources[m.DataCentre]
 	if source == nil {
 		if len(n.relay.sources) >= maxDataCentres {
--- a/core/mesh/report.go
+++ b/core/mesh/report.go
@@ -74,8 +74,8 @@
 }
 
 func (a *admission) loadReports(root uint32) (out []LoadReport) {
-	for name := range a.services {
-		if load := a.requestLoads[rootServiceKey{root, name}].get(); load > 0 {
+	for name, l := range a.loads[root] {
+		if load := l.perRequest.get(); load > 0 && a.services[name] != nil {
 			out = append(out, LoadReport{name, load})
 		}
 	}
--- a/core/mesh/shares.go
+++ b/core/mesh/shares.go
@@ -63,9 +63,9 @@
 func (a *admission) fitShare(d fleetDemand, free map[string]freeSlots) float64 {
 	bestEffort := a.usesBestEffort(d)
 	share := 1.0
-	for name, view := range a.services {
-		required := d.offered * a.requestLoads[rootServiceKey{d.root, name}].get()
-		if (view.slots > 0 || view.allSilent) && required > 0 {
+	for name, l := range a.loads[d.root] {
+		view, required := a.services[name], d.offered*l.perRequest.get()
+		if view != nil && (view.slots > 0 || view.allSilent) && required > 0 {
 			share = min(share, max(free[name].available(bestEffort)/required, 0))
 		}
 	}
@@ -75,8 +75,8 @@
 // deduct takes the slots for a share of d from the free ones.
 func (a *admission) deduct(d fleetDemand, share float64, free map[string]freeSlots) {
 	bestEffort := a.usesBestEffort(d)
-	for name := range a.services {
-		free[name] = free[name].without(share*d.offered*a.requestLoads[rootServiceKey{d.root, name}].get(), bestEffort)
+	for name, l := range a.loads[d.root] {
+		free[name] = free[name].without(share*d.offered*l.perRequest.get(), bestEffort)
 	}
 }
 
@@ -90,8 +90,10 @@
 // calls is retried.
 func (a *admission) successProbability(root uint32) float64 {
 	probability := 1.0
-	for name, view := range a.services {
-		probability *= math.Pow(1-view.faultShare, a.visits[rootServiceKey{root, name}].get())
+	for name, l := range a.loads[root] {
+		if view := a.services[name]; view != nil {
+			probability *= math.Pow(1-view.faultShare, l.visits.get())
+		}
 	}
 	return probability
 }
@@ -123,8 +125,8 @@
 // runsAtOneService reports whether the requests of a route use exactly one service.
 func (a *admission) runsAtOneService(root uint32) bool {
 	services := 0
-	for name := range a.services {
-		if a.visits[rootServiceKey{root, name}].get() > 0 {
+	for name, l := range a.loads[root] {
+		if a.services[name] != nil && l.visits.get() > 0 {
 			services++
 		}
 	}
@@ -135,9 +137,9 @@
 // second of a route uses.
 func (a *admission) dominantShare(root uint32) float64 {
 	largest := 0.0
-	for name, view := range a.services {
-		if view.slots > 0 {
-			largest = max(largest, a.requestLoads[rootServiceKey{root, name}].get()/view.slots)
+	for name, l := range a.loads[root] {
+		if view := a.services[name]; view != nil && view.slots > 0 {
+			largest = max(largest, l.perRequest.get()/view.slots)
 		}
 	}
 	return largest
--- a/core/mesh/upgrade_test.go
+++ b/core/mesh/upgrade_test.go
@@ -12,6 +12,7 @@
 	for _, size := range []struct{ nodes, dataCentres int }{{12, 3}, {30, 5}, {100, 5}} {
 		for _, all := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d nodes, whole data centres %v", size.nodes, all), func(t *testing.T) {
+				t.Parallel()
 				f := newExchangeFleet(size.nodes, size.dataCentres, 6)
 				for i, m := range f.members {
 					// Either the first two data centres are of the version before, or every other
