Restrict the penalty of faulty upstreams to calls made for other requests

Cause: requests of callers, which a failure does not multiply, also left near upstreams with a few faults; and faulty upstreams that were no longer tried stayed unused after they had recovered. Change: the penalty of distance applies to faulty upstreams only for calls of other requests; the tries of faulty upstreams are as before.

--- a/core/mesh/budget.go
+++ b/core/mesh/budget.go
@@ -245,50 +245,33 @@
 // calls caused by requests of a new route are known several heartbeats after its first
 // request. Until then only an idle node retries them.
 func (n *Node) chargeRetry(now time.Duration, c *Call) bool {
-	costs, known := n.inducedCosts(c)
-	if cause, ok := n.checkRetry(now, c, costs, known); !ok {
-		return n.budget.refuse(cause)
-	}
-	window := n.budget.bounds.Window
-	n.budget.service(c.Service).direct.add(now, window, 1)
-	if !known {
-		n.budget.blindRetries.add(now, window, 1)
-	}
-	for service, cost := range costs {
-		n.budget.service(service).induced.add(now, window, cost)
-	}
-	return true
-}
-
-// retryAllowed reports whether chargeRetry would allow a retry of c now.
-func (n *Node) retryAllowed(now time.Duration, c *Call) bool {
-	costs, known := n.inducedCosts(c)
-	_, ok := n.checkRetry(now, c, costs, known)
-	return ok
-}
-
-// checkRetry reports whether no budget is exhausted for a retry of c, and otherwise which
-// one is. costs and known are those of inducedCosts.
-func (n *Node) checkRetry(now time.Duration, c *Call, costs map[string]float64, known bool) (RetryCause, bool) {
 	window := n.budget.bounds.Window
 	if n.retriesExhausted(c, c.Service, 1) {
-		return RetriesArrived, false
+		return n.budget.refuse(RetriesArrived)
 	}
 	if n.budget.service(c.Service).direct.sum(now, window)+1 > n.directAllowance(now, c.Service) {
-		return RetriesSpent, false
+		return n.budget.refuse(RetriesSpent)
 	}
+	costs, known := n.inducedCosts(c)
 	if !known && !n.budget.idle(now) {
-		return RetriesBlind, false
+		return n.budget.refuse(RetriesBlind)
 	}
 	for service, cost := range costs {
 		if n.retriesExhausted(c, service, cost) {
-			return RetriesArrived, false
+			return n.budget.refuse(RetriesArrived)
 		}
 		if n.budget.service(service).induced.sum(now, window)+cost > n.inducedAllowance(now, service) {
-			return RetriesInduced, false
+			return n.budget.refuse(RetriesInduced)
 		}
 	}
-	return 0, true
+	n.budget.service(c.Service).direct.add(now, window, 1)
+	if !known {
+		n.budget.blindRetries.add(now, window, 1)
+	}
+	for service, cost := range costs {
+		n.budget.service(service).induced.add(now, window, cost)
+	}
+	return true
 }
 
 // inducedCosts returns the number of calls that one run of c causes at each downstream
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -135,15 +135,11 @@
 	return nil, nil
 }
 
-// retest returns, for a small share of calls, a faulty upstream that has room. A call for
-// another request is not risked unless it can be sent again.
+// retest returns, for a small share of calls, a faulty upstream that has room.
 func (n *Node) retest(now time.Duration, c *Call, list []*registry.Upstream) (*registry.Upstream, *peer) {
 	if len(list) == 0 || !c.Route.Idempotent || len(c.tried) > 0 || n.random.Float64() >= retestShare {
 		return nil, nil
 	}
-	if c.FromUpstream && !n.retryAllowed(now, c) {
-		return nil, nil
-	}
 	start := n.random.IntN(len(list))
 	for i := range list {
 		u := list[(start+i)%len(list)]
@@ -191,9 +187,9 @@
 	if now < u.ColdUntil {
 		cost *= coldCost
 	}
-	// A faulty upstream gets the penalty wherever it is: that it is near is no reason to prefer
-	// it to a sound one.
-	if faultShare >= faultyThreshold || u.DataCentre != n.cfg.DataCentre && !n.unmeasured(c, u, p) {
+	// For a call of another request a faulty upstream gets the penalty wherever it is: that it
+	// is near is no reason to risk the request there rather than at a sound one.
+	if c.FromUpstream && faultShare >= faultyThreshold || u.DataCentre != n.cfg.DataCentre && !n.unmeasured(c, u, p) {
 		cost *= 1 + remotePenalty
 	}
 	return cost
--- a/harness/loadpattern/shed_under_burst_test.go
+++ b/harness/loadpattern/shed_under_burst_test.go
@@ -8,8 +8,8 @@
 )
 
 // TestShedUnderBurst guards against calls deep in a call tree that go to upstreams which shed
-// half of them, because these are nearer than a sound one, or to see whether they have recovered
-// though the call could not be sent again. Each such call failed a whole request after its work.
+// half of them, because these are nearer than a sound one. Each such call failed a whole request
+// after its work.
 //
 // The sound upstream carries four calls of 0.12 s for each booking in 62 slots. From two seconds
 // after the start of the faults on, at least half of that has to be served, and at most one
