--- a/core/mesh/sums.go
+++ b/core/mesh/sums.go
@@ -127,6 +127,19 @@
 	}
 }
 
+// totals returns the demand and the capacity that are summed.
+func (s *sums) totals() (offered, limit float64) {
+	for _, d := range s.demand {
+		offered += d.offered
+	}
+	for _, sum := range s.services {
+		for _, c := range sum.Capacities {
+			limit += float64(c.Slots) * (1 - faultShareOf(c.FaultLevel))
+		}
+	}
+	return offered, limit
+}
+
 // sortedServices returns the sums by service, sorted by name.
 func (s *sums) sortedServices() []ServiceSum {
 	list := make([]ServiceSum, 0, len(s.services))
