--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() {
+	cases["late-rejection"] = lateRejection
+	cases["foreign-entry"] = foreignEntry
+	cases["cut-watch"] = cutWatch
+	cases["large-bodies"] = largeBodies
+}
+
+// lateRejection: a target that is full rejects requests, and later sends a second copy of such
+// an answer where the next one on the connection is expected.
+func lateRejection(d *deployment, trouble bool) (int, error) {
+	rec := d.rec
+	for i := range 4 {
+		m, err := d.add([]string{"pay", "pay", "web", "web"}[i], "zone-a")
+		if err != nil {
+			return cannotRun, err
+		}
+		if i >= 2 {
+			continue
+		}
+		var n, copies atomic.Int64
+		m.target.handle = func(t *target, c *targetConn, r *http.Request, body int64) bool {
+			if late := c.late; late != nil {
+				c.late = nil
+				rec.logf("target %s sends a second copy of an earlier answer before that to %s", t.id, r.Header.Get("Request-Id"))
+				_, _ = c.Write(late)
+			}
+			if n.Add(1)%4 != 0 {
+				return false
+			}
+			// Full: every fourth request is rejected.
+			t.record(r, body, false)
+			text := []byte("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			_, _ = c.Write(text)
+			if trouble && copies.Add(1)%8 == 0 {
+				c.late = text
+			}
+			return true
+		}
+	}
+	d.store.put("op/config", configuration(7, []string{"pay", "web"}, []routeRule{
+		{Name: "r-pay", Prefix: "/pay/", Kind: "non_idempotent", Timeout: 4000, Goal: 1500, Service: "pay", Attempts: 2},
+	}))
+	if err := d.startAll(); err != nil {
+		return cannotRun, err
+	}
+	time.Sleep(4 * time.Second)
+	var mu sync.Mutex
+	answers := map[string]answer{}
+	var clients sync.WaitGroup
+	for k := range 6 {
+		c := d.machines[k%4].client()
+		clients.Go(func() {
+			for i := range 150 {
+				a := c.do(http.MethodPost, "/pay/1", fmt.Sprintf("%02x%06x", k, i), 4*time.Second, 20)
+				mu.Lock()
+				answers[a.id] = a
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+			c.close()
+		})
+	}
+	clients.Wait()
+	runs := map[string][]string{}
+	for _, m := range d.machines {
+		for _, r := range m.target.executed() {
+			runs[r.id] = append(runs[r.id], m.target.id)
+		}
+	}
+	twice, refused := 0, 0
+	for id, at := range runs {
+		if len(at) > 1 {
+			twice++
+			rec.logf("TWICE: %s ran at %s", id, strings.Join(at, " and "))
+		}
+		if s := answers[id].status; s == 503 || s == 429 || s == 408 || s == 421 {
+			refused++
+			rec.logf("REFUSED: %s was answered %d and ran at %s", id, s, strings.Join(at, " and "))
+		}
+	}
+	rec.sayf("%d requests, %d ran twice, %d ran and were answered as not run", len(answers), twice, refused)
+	if twice > 0 || refused > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// foreignEntry: another writer leaves an entry whose address has no port.
+func foreignEntry(d *deployment, trouble bool) (int, error) {
+	rec := d.rec
+	services := []string{"web", "web", "old", "new", "web", "web"}
+	for _, s := range services {
+		if _, err := d.add(s, "zone-a"); err != nil {
+			return cannotRun, err
+		}
+	}
+	route := func(version int, service string) {
+		at := d.store.put("op/config", configuration(version, []string{"web", "old", "new"}, []routeRule{
+			{Name: "r", Prefix: "/list/", Kind: "idempotent", Timeout: 3000, Goal: 1000, Service: service, Attempts: 2},
+		}))
+		rec.logf("store: configuration %d acknowledged, /list/ leads to %s %v", version, service, at.Format("05.000"))
+	}
+	route(7, "old")
+	if err := d.startAll(); err != nil {
+		return cannotRun, err
+	}
+	time.Sleep(9 * time.Second)
+	if trouble {
+		d.store.put("servers/i-other", []byte(`{"service":"web","address":"`+d.net+`.200:","zone":"zone-a","capacity_slots":54,"instance_state":"ready","sequence":1}`))
+		rec.logf("store: another writer's entry, whose address has no port")
+	}
+	time.Sleep(3 * time.Second)
+	route(9, "new")
+	acknowledged := time.Now()
+	wrong := 0
+	clients := make([]*client, len(d.machines))
+	for i, m := range d.machines {
+		clients[i] = m.client()
+	}
+	for i := 0; time.Since(acknowledged) < 8*time.Second; i++ {
+		for k, c := range clients {
+			a := c.do(http.MethodGet, "/list/1", fmt.Sprintf("%02x%06x", k, i), 3*time.Second, 0)
+			if a.sentAt.Sub(acknowledged) > 2100*time.Millisecond && strings.Contains(a.body, "at "+d.machines[2].target.id) {
+				wrong++
+				rec.logf("CONFIG: %s, sent %d ms after the acknowledgement, was run by the old service", a.id, a.sentAt.Sub(acknowledged).Milliseconds())
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	rec.sayf("%d requests sent over config_ms after the acknowledgement were run by the old service", wrong)
+	if wrong > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// cutWatch: the store cuts the watches that wait. Then a target's entry is removed.
+func cutWatch(d *deployment, trouble bool) (int, error) {
+	rec := d.rec
+	for i := range 6 {
+		if _, err := d.add([]string{"list", "list", "web", "web", "web", "web"}[i], "zone-a"); err != nil {
+			return cannotRun, err
+		}
+	}
+	d.store.put("op/config", configuration(7, []string{"list", "web"}, []routeRule{
+		{Name: "r", Prefix: "/list/", Kind: "idempotent", Timeout: 3000, Goal: 1000, Service: "list", Attempts: 2},
+	}))
+	if err := d.startAll(); err != nil {
+		return cannotRun, err
+	}
+	time.Sleep(9 * time.Second)
+	leaver := d.machines[0].target
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for k := range 24 {
+		c := d.machines[k%6].client()
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c.do(http.MethodGet, "/list/1", fmt.Sprintf("%02x%06x", k, i), 3*time.Second, 0)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		n := d.store.cutWatches()
+		rec.logf("store: %d watches cut", n)
+		// The readers watch again after a pause.
+		for end := time.Now().Add(2 * time.Second); d.store.waitingWatches() < n && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	gone := d.store.remove(targetKey(leaver.id))
+	rec.logf("store: the entry of %s is removed, acknowledged", leaver.id)
+	time.Sleep(5 * time.Second)
+	close(stop)
+	clients.Wait()
+	late, last := 0, time.Duration(0)
+	for _, r := range leaver.executed() {
+		if after := r.at.Sub(gone); after > 2*time.Second {
+			late++
+			last = max(last, after)
+		}
+	}
+	rec.sayf("%d requests reached the target later than drain_ms after the acknowledgement, the last after %d ms", late, last.Milliseconds())
+	if late > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+var _ = bytes.NewReader
+
+// largeBodies: clients send long bodies, within max_body_bytes, while a target is slow.
+func largeBodies(d *deployment, trouble bool) (int, error) {
+	return cannotRun, fmt.Errorf("not written")
+}
--- /dev/null
+++ b/review/standin/target.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// run is one request as a target has received it.
+type run struct {
+	id, path, caller, method string
+	bodyBytes                int64
+	at                       time.Time
+	executed                 bool
+}
+
+// target is one instance of a service, behind one node.
+type target struct {
+	id, service, zone, address string
+	slots                      int
+	rec                        *recorder
+	born                       int64
+	work                       func() time.Duration
+	// handle, if set, answers a request in place of the usual answer. earlier is what the same
+	// connection has to send before its next answer.
+	handle func(t *target, c *targetConn, r *http.Request, body int64) bool
+
+	mu       sync.Mutex
+	runs     []run
+	conns    map[net.Conn]struct{}
+	seq      int
+	draining bool
+}
+
+// targetConn is one connection to a target.
+type targetConn struct {
+	net.Conn
+	late []byte // a second copy of an answer, due where the next answer is expected
+}
+
+func startTarget(id, service, zone, address string, rec *recorder) (*target, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	t := &target{id: id, service: service, zone: zone, address: address, slots: 54, rec: rec, born: time.Now().UnixMilli(),
+		work: func() time.Duration { return 20 * time.Millisecond }, conns: map[net.Conn]struct{}{}}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go t.serve(&targetConn{Conn: conn})
+		}
+	}()
+	return t, nil
+}
+
+func (t *target) registration() registration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++
+	state := "ready"
+	if t.draining {
+		state = "draining"
+	}
+	return registration{Service: t.service, Address: t.address, Zone: t.zone, Version: "v1", Slots: t.slots, State: state, Sequence: t.seq, Born: t.born}
+}
+
+func (t *target) serve(c *targetConn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.Copy(io.Discard, r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/health" {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id)
+			continue
+		}
+		if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.id {
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"), t.id)
+			continue
+		}
+		if t.handle != nil && t.handle(t, c, r, body) {
+			continue
+		}
+		if !t.answer(c, r, body) {
+			return
+		}
+	}
+}
+
+// answer runs a request and sends its answer.
+func (t *target) answer(c *targetConn, r *http.Request, body int64) bool {
+	t.record(r, body, true)
+	time.Sleep(t.work())
+	text := t.success(r)
+	_, err := c.Write(text)
+	return err == nil
+}
+
+func (t *target) success(r *http.Request) []byte {
+	id := r.Header.Get("Request-Id")
+	content := "ran " + id + " at " + t.id + "\n"
+	return []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, t.id, id, len(content), content))
+}
+
+func (t *target) record(r *http.Request, body int64, executed bool) {
+	t.mu.Lock()
+	t.runs = append(t.runs, run{r.Header.Get("Request-Id"), r.URL.Path, r.Header.Get("Caller-Service"), r.Method, body, time.Now(), executed})
+	t.mu.Unlock()
+	verb := "runs"
+	if !executed {
+		verb = "rejects"
+	}
+	t.rec.logf("target %s of %s %s %s %s, id %s, from %s, %d bytes", t.id, t.service, verb, r.Method, r.URL.Path, r.Header.Get("Request-Id"), r.Header.Get("Caller-Service"), body)
+}
+
+func (t *target) executed() (list []run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.runs {
+		if r.executed {
+			list = append(list, r)
+		}
+	}
+	return list
+}
