Judge a registration and a table by one rule, each by itself

Cause: the reader of the store and the nodes that follow it judged a registration by different checks. The reader took one whose port is missing, out of range or a name, or with 2,000,000,000 slots; a follower refused it, and with it the whole state, configuration included. It asked the same node again every 300 ms, and never another one or the store. An invalid registration names no upstream to use, an invalid table leaves the one before in force, and the rest of the state holds. A node that cannot fetch newer state turns to the others, and after half a second reads the store itself; a metric and log lines show it.

--- a/core/mesh/catchup.go
+++ b/core/mesh/catchup.go
@@ -15,6 +15,9 @@
 	// Upstreams holds the registrations that changed after the revision known to the
 	// requesting node. Their ColdUntil is the remaining time.
 	Upstreams []registry.Upstream
+	// Unusable holds the IDs of registrations that RemoveInvalid took out of Upstreams. It is
+	// not sent.
+	Unusable []string `cbor:"-"`
 	// Present holds the IDs of all registrations.
 	Present []string
 	// Removals holds the registrations that were removed recently. It is sent to a node
@@ -74,6 +77,39 @@
 // that another node already has.
 const newerTableDelay = 500 * time.Millisecond
 
+const (
+	// stateRetryDelay is how long a node does not fetch the state of an instance again after
+	// that failed, so that it turns to others.
+	stateRetryDelay = time.Second
+	// catchUpPatience is how long a node relies on others while it cannot fetch their state.
+	// Then it reads the store itself.
+	catchUpPatience = 500 * time.Millisecond
+)
+
+// StateFetchFailed records that the store state of an instance could not be fetched or used.
+func (n *Node) StateFetchFailed(now time.Duration, instance string) {
+	if n.fetchFailingSince == 0 {
+		n.fetchFailingSince = now
+	}
+	if p := n.peers[instance]; p != nil {
+		p.stateRetryAt = now + stateRetryDelay
+	}
+}
+
+// cannotCatchUp reports whether this node knows of newer state that it fails to fetch.
+func (n *Node) cannotCatchUp(now time.Duration) bool {
+	return n.CatchUpFailingFor(now) >= catchUpPatience
+}
+
+// CatchUpFailingFor returns since how long this node fails to fetch the state of other nodes, 0
+// if it does not.
+func (n *Node) CatchUpFailingFor(now time.Duration) time.Duration {
+	if n.fetchFailingSince == 0 {
+		return 0
+	}
+	return now - n.fetchFailingSince
+}
+
 // NewerPeer returns the instance whose store state this node should fetch. ok is false if
 // there is none. A node that takes its state from the store itself needs only a newer
 // table: a store that was restored from a copy may lack it.
@@ -91,7 +127,7 @@
 		return instance, now >= n.behindSince+newerTableDelay
 	}
 	reader := n.firstPrecedingReader(now)
-	if instance == "" && reader != nil && !newest.Position.After(reader.heartbeat.Position()) && reader.heartbeat.RegistryDigest != n.adoptedDigest {
+	if instance == "" && reader != nil && now >= reader.stateRetryAt && !newest.Position.After(reader.heartbeat.Position()) && reader.heartbeat.RegistryDigest != n.adoptedDigest {
 		// The reader has removed a registration that did not return after an outage.
 		// This changes the digest but not the position.
 		instance = reader.instance
@@ -99,12 +135,12 @@
 	return instance, instance != ""
 }
 
-// newestPeer returns the live instance with the newest store state after known, and that
-// state's version. It returns known if there is none.
+// newestPeer returns the live instance with the newest store state after known that may be
+// fetched, and that state's version. It returns known if there is none.
 func (n *Node) newestPeer(now time.Duration, known StoreVersion) (instance string, newest StoreVersion) {
 	newest = known
 	for _, p := range n.peers {
-		alive := p.heartbeatAt > 0 && !p.silent(now) && !p.heartbeat.Leaving
+		alive := p.heartbeatAt > 0 && !p.silent(now) && !p.heartbeat.Leaving && now >= p.stateRetryAt
 		newer := p.heartbeat.Version > newest.Version || p.heartbeat.Version == newest.Version && p.heartbeat.Position().After(newest.Position)
 		if alive && newer {
 			instance, newest = p.instance, StoreVersion{p.heartbeat.Version, p.heartbeat.Position()}
@@ -124,6 +160,7 @@
 // node's and returns the changes. A node that takes its state from the store itself
 // applies only a newer table.
 func (n *Node) ApplyState(now time.Duration, state StoreState) (changes StateChanges) {
+	n.fetchFailingSince = 0
 	if state.Table != nil && n.SetTable(now, state.Table) {
 		changes.Table = state.Table
 	}
@@ -143,6 +180,9 @@
 		}
 		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: u.ID, Era: u.Era, Revision: u.Revision, Upstream: &u})
 	}
+	for _, id := range state.Unusable {
+		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: id, Era: state.Era, Revision: state.Revision})
+	}
 	for _, id := range n.registry.MergePeerState(now, changes.Upstreams, state.Present, state.Position()) {
 		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: id, Era: state.Era, Revision: state.Revision, Removed: true})
 	}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -65,6 +65,9 @@
 	// behindSince is when this node, while it reads the store, learned of a newer table at
 	// another node; 0 if it has the newest.
 	behindSince time.Duration
+	// fetchFailingSince is when fetching the state of other nodes began to fail, 0 if the last
+	// state fetched or read could be used.
+	fetchFailingSince time.Duration
 	// nextReadAt is the earliest time of the next read of the store.
 	nextReadAt time.Duration
 	// othersListed is set once a read of the store showed other instances of the data centre.
--- a/core/mesh/peer.go
+++ b/core/mesh/peer.go
@@ -47,6 +47,8 @@
 	// node has sent others since.
 	legacyAt     time.Duration
 	leavingUntil time.Duration
+	// stateRetryAt is when the store state of the instance may be fetched again after a failure.
+	stateRetryAt time.Duration
 	outlier      outlier.Target
 	notice       upstreamNotice
 	// reported is the state given in the last events on the instance.
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -51,8 +51,12 @@
 }
 
 // ShouldFollow reports whether this node should leave reading the store to others,
-// because enough nodes of its data centre that precede it are in touch with it.
+// because enough nodes of its data centre that precede it are in touch with it, and their state
+// can be fetched.
 func (n *Node) ShouldFollow(now time.Duration) bool {
+	if n.cannotCatchUp(now) {
+		return false
+	}
 	readers := 0
 	for instance, dataCentre := range n.instances {
 		if dataCentre == n.cfg.DataCentre && n.isPrecedingReader(now, instance) {
--- a/core/mesh/store_reads.go
+++ b/core/mesh/store_reads.go
@@ -40,6 +40,7 @@
 	}
 	r.MarkStoreUp(now)
 	n.StoreAnswered(now)
+	n.fetchFailingSince = 0
 	defer func() { n.nextReadAt = now + n.discoveryDelay(now) }()
 	n.storeListed, n.watchFrom = true, position
 	for _, t := range changes.Tables {
--- a/core/mesh/validate.go
+++ b/core/mesh/validate.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/shallotspool/shallotspool/core/registry"
 )
 
 // ErrInvalidMessage marks a message that can be decoded but whose values are impossible. It
@@ -109,21 +112,27 @@
 // maxStateEntries bounds the registrations in the state of a node.
 const maxStateEntries = 20_000
 
-// Validate returns an error marked with ErrInvalidMessage if the state contains a table or a
-// registration that this node could not use.
-func (s *StoreState) Validate() error {
+// RemoveInvalid removes the registrations that no node could use, and the table if it must not
+// come into force, and returns why. The rest of the state holds. A removed registration names
+// no upstream to use; see StoreState.Unusable. err is marked with ErrInvalidMessage if the state
+// as a whole exceeds a limit.
+func (s *StoreState) RemoveInvalid() (problems []error, err error) {
 	if max(len(s.Upstreams), len(s.Present), len(s.Removals)) > maxStateEntries {
-		return errors.Mark(errors.Newf("more than %d registrations", maxStateEntries), ErrInvalidMessage)
+		return nil, errors.Mark(errors.Newf("more than %d registrations", maxStateEntries), ErrInvalidMessage)
 	}
 	if s.Table != nil {
-		if err := s.Table.Validate(); err != nil {
-			return errors.Mark(err, ErrInvalidMessage)
+		if problem := s.Table.Validate(); problem != nil {
+			problems = append(problems, problem)
+			s.Table = nil
 		}
 	}
-	for i := range s.Upstreams {
-		if err := s.Upstreams[i].Validate(); err != nil {
-			return errors.Mark(err, ErrInvalidMessage)
+	s.Upstreams = slices.DeleteFunc(s.Upstreams, func(u registry.Upstream) bool {
+		problem := u.Validate()
+		if problem != nil {
+			problems = append(problems, problem)
+			s.Unusable = append(s.Unusable, u.ID)
 		}
-	}
-	return nil
+		return problem != nil
+	})
+	return problems, nil
 }
--- a/node/sidecar/gauges.go
+++ b/node/sidecar/gauges.go
@@ -23,6 +23,7 @@
 	add("shallot_table_version", "", "", float64(s.node.StoreVersion().Version))
 	add("shallot_store_era", "", "", float64(s.node.StoreVersion().Position.Era))
 	add("shallot_store_revision", "", "", float64(s.node.StoreVersion().Position.Revision))
+	add("shallot_state_fetch_failing_seconds", "", "", s.node.CatchUpFailingFor(now).Seconds())
 	relay := s.node.RelayReport(now)
 	add("shallot_relay_collecting", "", "", boolValue(relay.Collecting))
 	add("shallot_relay_round_age_seconds", "", "", relay.RoundAge.Seconds())
--- a/node/sidecar/state_sync.go
+++ b/node/sidecar/state_sync.go
@@ -32,9 +32,15 @@
 	stateSyncInterval = 300 * time.Millisecond
 	// stateTimeout limits the time to fetch the state from another node.
 	stateTimeout = time.Second
-	// maxStateBytes limits the size of an encoded state: a table of up to 1 MB and all
-	// registered upstreams.
-	maxStateBytes = 8 << 20
+	// maxStateBytes limits the size of an encoded state. All registrations and removals that
+	// a node may know, and the largest table that the store holds, fit into it.
+	maxStateBytes = 40 << 20
+)
+
+// The counters of states that could not be fetched, and of values that were refused.
+const (
+	stateFetchFailuresName = "shallot_state_fetch_failures_total"
+	invalidValuesName      = "shallot_invalid_values_total"
 )
 
 // errInvalidState marks a response that contains no usable state.
@@ -47,16 +53,29 @@
 	instance, ok := s.node.NewerPeer(s.now())
 	known := s.node.StoreVersion()
 	s.mu.Unlock()
-	if ok {
-		s.syncStateFrom(instance, known)
+	if !ok {
+		return
+	}
+	if err := s.syncStateFrom(instance, known); err != nil {
+		s.log.Info("fetching state from node failed", field("instance", instance), field("error", err))
+		s.metrics.AddToCounter(stateFetchFailuresName, 1)
+		s.mu.Lock()
+		s.node.StateFetchFailed(s.now(), instance)
+		s.mu.Unlock()
 	}
 }
 
-func (s *Sidecar) syncStateFrom(instance string, known mesh.StoreVersion) {
-	state, err := s.fetchState(instance, known)
+// syncStateFrom takes over the state of the node at instance, as far as it is newer than known.
+// It leaves out values that are invalid. Its error is marked with errInvalidState if one of
+// these is the table.
+func (s *Sidecar) syncStateFrom(instance string, known mesh.StoreVersion) error {
+	state, invalid, err := s.fetchState(instance, known)
 	if err != nil {
-		s.log.Info("fetching state from node failed", field("instance", instance), field("error", err))
-		return
+		return err
+	}
+	s.metrics.AddToCounter(invalidValuesName, int64(len(invalid)))
+	for _, err := range invalid {
+		s.log.Warn("invalid value in state of node", field("instance", instance), field("error", err))
 	}
 	s.mu.Lock()
 	changes := s.node.ApplyState(s.now(), state)
@@ -68,14 +87,20 @@
 	for _, u := range changes.Upstreams {
 		s.logUpstream(u, instance)
 	}
+	for _, err := range invalid {
+		if errors.Is(err, route.ErrInvalidTable) {
+			return errors.Mark(err, errInvalidState)
+		}
+	}
+	return nil
 }
 
-// fetchState requests the state that the node at instance has beyond known.
-func (s *Sidecar) fetchState(instance string, known mesh.StoreVersion) (state mesh.StoreState, err error) {
+// fetchState requests the state that the node at instance has beyond known; see decodeState.
+func (s *Sidecar) fetchState(instance string, known mesh.StoreVersion) (state mesh.StoreState, invalid []error, err error) {
 	p := s.peerPool(instance)
 	conn, err := p.Get(dialTimeout)
 	if err != nil {
-		return state, err
+		return state, nil, err
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -89,27 +114,29 @@
 	_ = conn.SetDeadline(time.Now().Add(stateTimeout))
 	if err := conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: maxStateBytes}); err != nil {
 		p.Discard(conn)
-		return state, err
+		return state, nil, err
 	}
 	p.Put(conn)
 	if resp.StatusCode() != http.StatusOK {
-		return state, errors.Mark(errors.Newf("node returned status %d", resp.StatusCode()), errInvalidState)
+		return state, nil, errors.Mark(errors.Newf("node returned status %d", resp.StatusCode()), errInvalidState)
 	}
 	return decodeState(resp.Body())
 }
 
-// decodeState decodes the state of another node. Its error is marked with errInvalidState.
-func decodeState(data []byte) (state mesh.StoreState, err error) {
+// decodeState decodes the state of another node. It removes what is invalid and returns why;
+// see mesh.StoreState.RemoveInvalid. err is marked with errInvalidState.
+func decodeState(data []byte) (state mesh.StoreState, invalid []error, err error) {
 	if err := cbor.Unmarshal(data, &state); err != nil {
-		return state, errors.Mark(errors.Wrap(err, "decode state"), errInvalidState)
+		return mesh.StoreState{}, nil, errors.Mark(errors.Wrap(err, "decode state"), errInvalidState)
 	}
-	if err := state.Validate(); err != nil {
-		return mesh.StoreState{}, errors.Mark(err, errInvalidState)
+	invalid, err = state.RemoveInvalid()
+	if err != nil {
+		return mesh.StoreState{}, nil, errors.Mark(err, errInvalidState)
 	}
 	if state.Table != nil {
 		state.Table.BuildIndex()
 	}
-	return state, nil
+	return state, invalid, nil
 }
 
 // isStateRequest reports whether another node requests the state, rather than
