--- a/core/store/store.go
+++ b/core/store/store.go
@@ -14,6 +14,9 @@
 var (
 	// ErrUnavailable is returned if the store gave no usable response.
 	ErrUnavailable = errors.New("no usable response from the store")
+	// ErrUnreadable marks the ErrUnavailable of a response that began but could not be read to
+	// its end or decoded. The same watch may fail again, while a listing comes in pages.
+	ErrUnreadable = errors.New("response of the store cannot be read")
 	// ErrRevisionGone is returned for a watch from a revision that the store no
 	// longer keeps. The caller has to list everything again.
 	ErrRevisionGone = errors.New("the store no longer keeps that revision")
@@ -26,7 +29,8 @@
 	// Era counts the restores of the store from an older copy, 0 if the store does not
 	// state it.
 	Era uint64
-	// Tables are the routing tables read, in the order in which they were written.
+	// Tables are the routing tables read, in the order in which they were written. A reader
+	// may leave out those that a later one replaces.
 	Tables []*route.Table
 	// Upstreams are the registrations and removals of upstreams. A registration that
 	// could not be decoded is a change without an upstream.
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -116,14 +116,23 @@
 		r.waitBeforeNextRead()
 	case errors.Is(err, store.ErrRevisionGone):
 		r.sidecar.log.Warn("store history gone", field("era", r.position.Era), field("revision", r.position.Revision))
-		r.sidecar.mu.Lock()
-		r.sidecar.node.HistoryGone()
-		r.sidecar.mu.Unlock()
+		r.sidecar.historyGone()
+	case errors.Is(err, store.ErrUnreadable) && !read.List:
+		r.sidecar.log.Warn("store response not readable", field("era", r.position.Era), field("revision", r.position.Revision), field("error", err))
+		r.sidecar.historyGone()
+		r.waitBeforeNextRead()
 	default:
 		r.handleError(err)
 	}
 }
 
+// historyGone makes the next read a listing.
+func (s *Sidecar) historyGone() {
+	s.mu.Lock()
+	s.node.HistoryGone()
+	s.mu.Unlock()
+}
+
 // resumeReading continues from the position that this node reached while it followed
 // other nodes.
 func (r *storeReadLoop) resumeReading() {
@@ -177,6 +186,7 @@
 		s.log.Info("table in force", field("version", t.Version), field("routes", len(t.Routes)), field("revision", changes.Revision),
 			field("era", changes.Era), field("from", sourceStore))
 	}
+	s.metrics.AddToCounter(invalidValuesName, int64(len(changes.Invalid)))
 	for _, invalid := range changes.Invalid {
 		s.log.Warn("invalid value in store", field("key", invalid.Key), field("revision", invalid.Revision), field("error", invalid.Err))
 	}
