Send positions of the store as unsigned numbers between nodes

What callers saw: nothing yet; found by a test of large numbers. Cause: a node asks another one for state with its version, era and revision as int. A version or revision above 2^63-1 became negative, which ended the process of each node that follows others, every 300 ms after each restart. A header limit of any size was taken for the buffer of each connection. Evidence: TestLargestVersionComesIntoForce: the next version was missing at three of five nodes. Change: the numbers are sent and read as unsigned 64-bit integers; the buffer for a header is at most 1 MB.

--- a/node/internal/listener/limits.go
+++ b/node/internal/listener/limits.go
@@ -17,12 +17,16 @@
 	defaultIdleTimeout    = 60 * time.Second
 )
 
+// maxHeaderBufferBytes bounds MaxHeaderBytes, since each connection has a buffer of that size.
+const maxHeaderBufferBytes = 1 << 20
+
 // limits returns the current limits with the defaults filled in.
 func (l *Listener) limits() Limits {
 	limits := l.cfg.Limits()
 	if limits.MaxHeaderBytes <= 0 {
 		limits.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
+	limits.MaxHeaderBytes = min(limits.MaxHeaderBytes, maxHeaderBufferBytes)
 	if limits.MaxBodyBytes <= 0 {
 		limits.MaxBodyBytes = defaultMaxBodyBytes
 	}
--- a/node/sidecar/state_sync.go
+++ b/node/sidecar/state_sync.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -107,9 +108,11 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetHost(p.Address())
 	var args fasthttp.Args
-	args.SetUint(versionParam, int(known.Version))
-	args.SetUint(eraParam, int(known.Position.Era))
-	args.SetUint(revisionParam, int(known.Position.Revision))
+	for name, number := range map[string]uint64{
+		versionParam: uint64(known.Version), eraParam: known.Position.Era, revisionParam: known.Position.Revision,
+	} {
+		args.Set(name, strconv.FormatUint(number, 10))
+	}
 	req.Header.SetRequestURI(statePath + "?" + args.String())
 	_ = conn.SetDeadline(time.Now().Add(stateTimeout))
 	if err := conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: maxStateBytes}); err != nil {
@@ -150,9 +153,9 @@
 // not have yet.
 func (s *Sidecar) serveState(_ context.Context, x *listener.Exchange) {
 	args := x.Request.URI().QueryArgs()
-	version, err1 := args.GetUint(versionParam)
-	era, err2 := args.GetUint(eraParam)
-	revision, err3 := args.GetUint(revisionParam)
+	version, err1 := strconv.ParseUint(string(args.Peek(versionParam)), 10, 64)
+	era, err2 := strconv.ParseUint(string(args.Peek(eraParam)), 10, 64)
+	revision, err3 := strconv.ParseUint(string(args.Peek(revisionParam)), 10, 64)
 	if err := errors.CombineErrors(err1, errors.CombineErrors(err2, err3)); err != nil {
 		s.log.Warn("invalid state request from node", field("address", x.RemoteIP), field("error", err))
 		x.Response.SetStatusCode(fasthttp.StatusBadRequest)
@@ -160,7 +163,7 @@
 	}
 	s.mu.Lock()
 	state := s.node.StateSince(s.now(), mesh.StoreVersion{
-		Version: route.Version(version), Position: registry.Position{Era: uint64(era), Revision: uint64(revision)},
+		Version: route.Version(version), Position: registry.Position{Era: era, Revision: revision},
 	})
 	s.mu.Unlock()
 	encoded, err := cbor.Marshal(state)
