Tell answers apart by the request that they name, in one place

What callers saw: 'not run, try again' for requests that an upstream had run (REFUSED), a request that must not be repeated run at a second upstream (TWICE), and another request's answer (MIXED). Cause: an answer that names no request was taken for the one that is due, in the sidecar and in the daemon. On a kept connection it can be an earlier one, written once more. A head that stopped halfway and was continued by that of another answer was read as one head. Change: pool.MatchField is the rule for both programs. An answer must name its request; one that names none counts only as the first one on its connection, which is not used again. Fields that identify an answer must not be repeated. Nodes name the request in their refusals too; those of the version before do not, so that a node's answer without a name still counts between nodes. In the daemon an upstream that does not copy Shallot-Parent is asked on a new connection each time; the stand-in of the harness copies it now.

--- a/harness/standin/upstream.go
+++ b/harness/standin/upstream.go
@@ -61,6 +61,8 @@
 	u.slots <- struct{}{}
 	defer func() { <-u.slots }()
 	id := string(ctx.Request.Header.Peek(IDHeader))
+	// Connections to an upstream that does not copy the field carry one request each.
+	ctx.Response.Header.SetBytesV("Shallot-Parent", ctx.Request.Header.Peek("Shallot-Parent"))
 	if !ctx.IsGet() {
 		u.mu.Lock()
 		u.runs[id]++
--- a/node/internal/attempt/executor.go
+++ b/node/internal/attempt/executor.go
@@ -91,7 +91,7 @@
 		parent := header.FormatParent(e.cfg.Incarnation, a.Attempt)
 		req.Header.Set(header.Parent, parent)
 		setTimeoutField(req, a.Timeout)
-		e.exchange(a.Attempt, attempt, e.upstream, req, a.Timeout, replyReader{read: readUpstreamReply, belongs: belongsTo(parent)})
+		e.exchange(a.Attempt, attempt, e.upstream, req, a.Timeout, replyReader{read: readUpstreamReply, match: pool.MatchField(header.Parent, parent)})
 	}
 }
 
@@ -122,21 +122,12 @@
 
 // replyReader reads the reply to a request.
 type replyReader struct {
-	// belongs reports whether a response is the one to the request; nil accepts any.
-	belongs func(*fasthttp.ResponseHeader) bool
+	// match tells which request a response belongs to; nil accepts any.
+	match func(*fasthttp.ResponseHeader) pool.Match
 	// read converts the HTTP response to a reply for the engine.
 	read func(*fasthttp.Response) (engine.Reply, error)
 }
 
-// belongsTo accepts the responses that name the dispatch with this value of
-// header.Parent, and those that name none: upstreams need not copy it.
-func belongsTo(parent string) func(*fasthttp.ResponseHeader) bool {
-	return func(h *fasthttp.ResponseHeader) bool {
-		named := h.Peek(header.Parent)
-		return len(named) == 0 || string(named) == parent
-	}
-}
-
 // exchange sends a request on a connection of p, reads the response and reports
 // the result to the engine. It reports none if it finds the attempt cancelled once
 // it has a connection or at the end of the exchange of request and response.
@@ -153,7 +144,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	_ = conn.SetDeadline(time.Now().Add(timeout + deadlineGrace))
-	err = conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: e.cfg.MaxBodyBytes, BelongsToRequest: reader.belongs})
+	err = conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: e.cfg.MaxBodyBytes, Match: reader.match})
 	if !attempt.detachConn() {
 		p.Discard(conn)
 		return
--- a/node/internal/attempt/late_copy_test.go
+++ b/node/internal/attempt/late_copy_test.go
@@ -25,6 +25,14 @@
 // request a second time when its connection is in use again: the next caller got it as the
 // answer to its own request.
 func TestLateSecondCopyIsNotDelivered(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		expectOwnAnswers(t, named)
+	}
+}
+
+// expectOwnAnswers sends two requests in turn to an upstream that sends each answer a second
+// time before the next one on the connection. named tells whether answers name their dispatch.
+func expectOwnAnswers(t *testing.T, named bool) {
 	address := rawserver.Serve(t, func(conn net.Conn) {
 		defer conn.Close()
 		in := bufio.NewReader(conn)
@@ -34,7 +42,11 @@
 			if req.Read(in) != nil {
 				return
 			}
-			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\n%s", header.Parent, req.Header.Peek(header.Parent), req.URI().Path())
+			name := ""
+			if named {
+				name = fmt.Sprintf("%s: %s\r\n", header.Parent, req.Header.Peek(header.Parent))
+			}
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\n%s", name, req.URI().Path())
 			_, _ = io.WriteString(conn, last+answer)
 			last = answer
 		}
@@ -54,7 +66,7 @@
 	for i, event := range engineEvents.events {
 		answered, ok := event.(*engine.AttemptAnswered)
 		if want := fmt.Sprintf("/%d", i+1); !ok || string(answered.Reply.Response.Body) != want {
-			t.Errorf("attempt %d: %+v, want the body %s", i+1, event, want)
+			t.Errorf("named %v, attempt %d: %+v, want the body %s", named, i+1, event, want)
 		}
 	}
 }
--- a/node/internal/pool/exchange.go
+++ b/node/internal/pool/exchange.go
@@ -51,9 +51,9 @@
 	// AllowUnknownLength accepts a response without a length, whose body ends
 	// when the target closes the connection.
 	AllowUnknownLength bool
-	// BelongsToRequest reports whether a response is the one to this request;
-	// nil accepts any response.
-	BelongsToRequest func(*fasthttp.ResponseHeader) bool
+	// Match tells which request a response belongs to; nil accepts any response. See
+	// MatchField.
+	Match func(*fasthttp.ResponseHeader) Match
 }
 
 // Exchange sends a request and reads the complete response into resp. After an
@@ -94,18 +94,24 @@
 	return errors.Wrap(c.Writer.Flush(), "send request")
 }
 
-// readMatching reads the response that belongs to this request. It skips late
-// responses to earlier requests; the connection cannot be reused after one.
+// readMatching reads the response that belongs to this request. It skips responses
+// to other requests; the connection cannot be reused after one.
 func (c *Conn) readMatching(resp *fasthttp.Response, opts ExchangeOptions) error {
 	for range maxUnmatched {
 		if err := readComplete(c, resp, opts); err != nil {
 			return err
 		}
-		if opts.BelongsToRequest == nil || opts.BelongsToRequest(&resp.Header) {
+		match := MatchOwn
+		if opts.Match != nil {
+			match = opts.Match(&resp.Header)
+		}
+		if match == MatchAmbiguous {
+			return ErrAmbiguousHead
+		}
+		if c.accepts(match) {
 			c.answered = true
 			return nil
 		}
-		c.NotReusable = true
 		if resp.ConnectionClose() {
 			break
 		}
--- a/node/internal/pool/exchange_test.go
+++ b/node/internal/pool/exchange_test.go
@@ -48,9 +48,7 @@
 }
 
 // options identifies the response to the request by its header field "Id: own".
-var options = pool.ExchangeOptions{MaxBodyBytes: 100, AllowUnknownLength: true, BelongsToRequest: func(h *fasthttp.ResponseHeader) bool {
-	return string(h.Peek("Id")) == "own"
-}}
+var options = pool.ExchangeOptions{MaxBodyBytes: 100, AllowUnknownLength: true, Match: pool.MatchField("Id", "own")}
 
 // exchange sends a GET request on a connection of p.
 func exchange(t *testing.T, p *pool.Pool) (*fasthttp.Response, *pool.Conn, error) {
@@ -241,3 +239,39 @@
 		}
 	}
 }
+
+// TestUnnamedResponseIsAcceptedOnlyAsTheFirst guards against an earlier response, written once
+// more without the name of its request, that is taken for the one to the next request.
+func TestUnnamedResponseIsAcceptedOnlyAsTheFirst(t *testing.T) {
+	own := "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 5\r\n\r\nright"
+	unnamed := "HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nwrong"
+	p := serve(t, own, unnamed+own)
+	for range 2 {
+		resp, conn, err := exchange(t, p)
+		if err != nil || string(resp.Body()) != "right" {
+			t.Fatalf("got body %q, error %v; want the response that names the request", resp.Body(), err)
+		}
+		p.Put(conn)
+	}
+	resp, conn, err := exchange(t, serve(t, unnamed+own))
+	if err != nil || string(resp.Body()) != "wrong" || !conn.NotReusable {
+		t.Fatalf("got body %q, error %v, NotReusable %v; want the first response, on a connection not used again", resp.Body(), err, conn.NotReusable)
+	}
+	other := "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"
+	if resp, _, err := exchange(t, serve(t, other+unnamed+own)); err != nil || string(resp.Body()) != "right" {
+		t.Fatalf("got body %q, error %v; want the response that names the request after others", resp.Body(), err)
+	}
+}
+
+// TestHeadOfTwoResponsesIsRejected guards against a head that stopped halfway and was continued
+// by that of another response.
+func TestHeadOfTwoResponsesIsRejected(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nId: own\r\nServer: a\r\nContent-Length: 5\r\n\r\nright"
+	// After a cut within the status line, what follows is a whole response.
+	first, end := strings.Index(whole, "Id: own")+1, strings.Index(whole, "\r\n\r\n")
+	for cut := first; cut <= end; cut++ {
+		if resp, _, err := exchange(t, serve(t, whole[:cut]+strings.ReplaceAll(whole, "right", "other")+"END")); err == nil {
+			t.Errorf("accepted with head %q after %q", resp.Header.Header(), whole[:cut])
+		}
+	}
+}
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -73,9 +73,7 @@
 func (s *Sidecar) sendToPeer(ctx context.Context, req *upstreamRequest, instance string) mesh.Outcome {
 	req.request.Header.Set(rankHeader, formatRank(req))
 	sentAt := s.now()
-	o := s.exchange(ctx, s.peerPool(instance), req, maxPeerIdle, func(h *fasthttp.ResponseHeader) bool {
-		return len(h.Peek(resultHeader)) > 0
-	})
+	o := s.exchange(ctx, s.peerPool(instance), req, maxPeerIdle, s.peerMatcher(req))
 	if o.Kind != mesh.OutcomeAnswered {
 		// A peer that is alive normally responds within responseGrace of the deadline,
 		// so a timeout is taken to mean that it is silent.
@@ -97,10 +95,28 @@
 	return o
 }
 
+// peerMatcher returns a function that tells which request a response of another node belongs
+// to. Nodes of earlier versions do not name the request in a refusal.
+func (s *Sidecar) peerMatcher(req *upstreamRequest) func(*fasthttp.ResponseHeader) pool.Match {
+	match := pool.MatchField(s.dialect.Headers.RequestID, req.id, resultHeader)
+	return func(h *fasthttp.ResponseHeader) pool.Match {
+		m := match(h)
+		switch {
+		case m == pool.MatchAmbiguous:
+			return m
+		case len(h.Peek(resultHeader)) == 0:
+			return pool.MatchOther
+		case m == pool.MatchUnnamed:
+			return pool.MatchOwn
+		}
+		return m
+	}
+}
+
 // exchange sends req on a connection from p and reads the response. Connections that
-// were idle for maxIdle or longer are not used. Responses for which belongsToRequest
-// returns false are skipped.
-func (s *Sidecar) exchange(ctx context.Context, p *pool.Pool, req *upstreamRequest, maxIdle time.Duration, belongsToRequest func(*fasthttp.ResponseHeader) bool) mesh.Outcome {
+// were idle for maxIdle or longer are not used. Responses to other requests, as told by
+// match, are skipped.
+func (s *Sidecar) exchange(ctx context.Context, p *pool.Pool, req *upstreamRequest, maxIdle time.Duration, match func(*fasthttp.ResponseHeader) pool.Match) mesh.Outcome {
 	remaining := req.deadline - s.now()
 	if remaining <= 0 {
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonDeadline}
@@ -126,7 +142,7 @@
 	req.lease.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = conn.ExchangeWithOptions(req.request, req.response, pool.ExchangeOptions{
-		MaxBodyBytes: s.responseLimit(), Lease: req.lease, WaitUntil: end, AllowUnknownLength: true, BelongsToRequest: belongsToRequest,
+		MaxBodyBytes: s.responseLimit(), Lease: req.lease, WaitUntil: end, AllowUnknownLength: true, Match: match,
 	})
 	if !stop() {
 		// The caller has disconnected.
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
 	"math"
 	"strconv"
@@ -58,6 +57,7 @@
 		resp.Reset()
 		resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		resp.Header.SetNoDefaultContentType(true)
+		resp.Header.Set(s.dialect.Headers.RequestID, req.id)
 	} else {
 		removeHopByHopHeaders(&resp.Header)
 		resp.Header.ResetConnectionClose()
@@ -273,16 +273,11 @@
 	return maxIdempotentIdle
 }
 
-// responseMatcher returns a function that reports whether a response belongs to req, as
-// opposed to a late response to an earlier request on the same connection. A response
-// without a request ID is accepted.
-func (s *Sidecar) responseMatcher(req *upstreamRequest) func(*fasthttp.ResponseHeader) bool {
-	name := s.dialect.Headers.RequestID
-	id := []byte(req.id)
-	return func(h *fasthttp.ResponseHeader) bool {
-		echoed := h.Peek(name)
-		return len(echoed) == 0 || bytes.Equal(echoed, id)
-	}
+// responseMatcher returns a function that tells which request a response of the upstream belongs
+// to, by the request ID that it names. It also refuses a head in which another one continues.
+func (s *Sidecar) responseMatcher(req *upstreamRequest) func(*fasthttp.ResponseHeader) pool.Match {
+	h := &s.dialect.Headers
+	return pool.MatchField(h.RequestID, req.id, h.ResponseStamp, h.NotExecuted)
 }
 
 // classifyResponse returns the outcome of a complete response: the upstream ran the
