Leave an invalid entry of the list of instances out, not the whole list

Cause: the daemon refused the list of instances as a whole for one invalid entry, so that nodes that start learn of no other, and nothing that changes is followed. Evidence: TestInvalidInstanceDoesNotAffectOthers: ParseInstances returned an error for each of ten odd entries. Change: each entry is judged by itself and reported with its index; a list without any valid entry still fails, so that what was known holds. Result: the test passes.

--- a/node/internal/platform/client.go
+++ b/node/internal/platform/client.go
@@ -69,13 +69,13 @@
 	return document.Version(n), text, nil
 }
 
-// Instances reads and validates the list of instances.
-func (c *Client) Instances(ctx context.Context) ([]membership.Instance, error) {
+// Instances reads the list of instances; see ParseInstances.
+func (c *Client) Instances(ctx context.Context) (list []membership.Instance, invalid []error, err error) {
 	text, err := c.get(ctx, resourceRequest{
 		path: InstancesPath, maxBytes: maxInstanceListBytes, onHeader: func(*fasthttp.ResponseHeader) {},
 	})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	return ParseInstances(text)
 }
--- a/node/internal/platform/instances.go
+++ b/node/internal/platform/instances.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -27,35 +26,51 @@
 	Leaving     bool   `json:"leaving"`
 }
 
-// ParseInstances parses and validates a list of instances. One invalid entry
-// makes the whole list invalid; the error is marked ErrReadFailed and contains the
-// index of the entry.
-func ParseInstances(text []byte) ([]membership.Instance, error) {
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	var entries []instanceEntry
-	if err := decoder.Decode(&entries); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "instances"), ErrReadFailed)
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return nil, errors.Wrap(ErrReadFailed, "instances: unexpected data after the list")
+// ParseInstances parses a list of instances. An invalid entry names no instance to use and does
+// not affect the others; invalid tells why, with the index of the entry. Text that is no list,
+// and a list without any valid entry that is not empty, are errors. All errors are marked
+// ErrReadFailed.
+func ParseInstances(text []byte) (list []membership.Instance, invalid []error, err error) {
+	var raw []json.RawMessage
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, nil, errors.Mark(errors.Wrap(err, "instances"), ErrReadFailed)
 	}
-	if len(entries) > maxInstances {
-		return nil, errors.Wrapf(ErrReadFailed, "instances: %d entries, more than %d", len(entries), maxInstances)
+	switch {
+	case raw == nil:
+		return nil, nil, errors.Wrap(ErrReadFailed, "instances: no list")
+	case len(raw) > maxInstances:
+		return nil, nil, errors.Wrapf(ErrReadFailed, "instances: %d entries, more than %d", len(raw), maxInstances)
 	}
-	list := make([]membership.Instance, len(entries))
-	seen := make(map[string]bool, len(entries))
-	for i := range entries {
-		if problem := entries[i].validate(); problem != "" {
-			return nil, errors.Wrapf(ErrReadFailed, "instances[%d]: %s", i, problem)
+	list = make([]membership.Instance, 0, len(raw))
+	seen := make(map[string]bool, len(raw))
+	for i := range raw {
+		entry, err := parseInstance(raw[i])
+		if err == nil && seen[entry.Target] {
+			err = errors.Newf("target %q is listed twice", entry.Target)
 		}
-		if seen[entries[i].Target] {
-			return nil, errors.Wrapf(ErrReadFailed, "instances[%d]: target %q is listed twice", i, entries[i].Target)
+		if err != nil {
+			invalid = append(invalid, errors.Mark(errors.Wrapf(err, "instances[%d]", i), ErrReadFailed))
+			continue
 		}
-		seen[entries[i].Target] = true
-		list[i] = membership.Instance(entries[i])
+		seen[entry.Target] = true
+		list = append(list, membership.Instance(entry))
+	}
+	if len(list) == 0 && len(invalid) > 0 {
+		return nil, nil, errors.Wrap(invalid[0], "no valid entry")
+	}
+	return list, invalid, nil
+}
+
+func parseInstance(raw json.RawMessage) (entry instanceEntry, err error) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&entry); err != nil {
+		return entry, err
+	}
+	if problem := entry.validate(); problem != "" {
+		return entry, errors.New(problem)
 	}
-	return list, nil
+	return entry, nil
 }
 
 // validate returns a description of the first invalid field, or "" if e is valid.
--- /dev/null
+++ b/node/internal/platform/instances_test.go
@@ -0,0 +1,47 @@
+package platform_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/shallotspool/shallotspool/node/internal/platform"
+)
+
+// TestInvalidInstanceDoesNotAffectOthers guards against one odd entry in the list of instances
+// that keeps a node from learning of all others.
+func TestInvalidInstanceDoesNotAffectOthers(t *testing.T) {
+	entry := func(target, fields string) string {
+		return fmt.Sprintf(`{"target":%q,"service":"s","data_centre":"a","peer_address":"10.0.0.1:80","link_address":"10.0.0.1:81"%s}`, target, fields)
+	}
+	for name, odd := range map[string]string{
+		"type":          `7`,
+		"no name":       entry("", ""),
+		"long name":     entry(strings.Repeat("x", 65), ""),
+		"no port":       entry("odd", `,"peer_address":"10.0.0.9:"`),
+		"large port":    entry("odd", `,"link_address":"10.0.0.9:99999"`),
+		"port 0":        entry("odd", `,"link_address":"10.0.0.9:0"`),
+		"type of field": entry("odd", `,"leaving":"yes"`),
+		"nested":        entry("odd", `,"service":`+strings.Repeat("[", 9_000)+strings.Repeat("]", 9_000)),
+		"unknown field": entry("odd", `,"colour":"red"`),
+		"listed twice":  entry("before", ""),
+	} {
+		list, invalid, err := platform.ParseInstances([]byte("[" + entry("before", "") + "," + odd + "," + entry("after", "") + "]"))
+		if err != nil || len(list) != 2 || list[0].Target != "before" || list[1].Target != "after" {
+			t.Errorf("%s: got %+v and error %v, want the two others", name, list, err)
+			continue
+		}
+		if len(invalid) != 1 || !errors.Is(invalid[0], platform.ErrReadFailed) || !strings.HasPrefix(invalid[0].Error(), "instances[1]: ") {
+			t.Errorf("%s: got problems %v, want one that names the entry", name, invalid)
+		}
+	}
+	for name, text := range map[string]string{
+		"no list": `{}`, "cut": "[" + entry("before", ""), "more": "[]" + entry("after", ""), "none usable": `[7,{}]`, "null": "null",
+	} {
+		if list, _, err := platform.ParseInstances([]byte(text)); !errors.Is(err, platform.ErrReadFailed) {
+			t.Errorf("%s: got %+v and error %v, want ErrReadFailed", name, list, err)
+		}
+	}
+}
--- a/node/internal/platform/reader.go
+++ b/node/internal/platform/reader.go
@@ -45,10 +45,13 @@
 // read reads one resource and passes the result to the engine.
 func (r *Reader) read(ctx context.Context, a *engine.ReadPlatform) error {
 	if a.Resource == engine.ResourceMembers {
-		list, err := r.client.Instances(ctx)
+		list, invalid, err := r.client.Instances(ctx)
 		if err != nil {
 			return err
 		}
+		for _, err := range invalid {
+			r.onError(err)
+		}
 		r.directory.Replace(list)
 		r.handleEvent(&engine.MembersRead{Instances: list})
 		return nil
