Bound the memory of the bodies of requests and responses together

Cause: each request's body was read whole, up to max_body_bytes on each connection, and nothing counted them; only the bodies of responses had a common bound. Change: one budget for all bodies, from the memory of the process. After a refusal the rest of the body is passed over, so that the caller reads the answer. Malformed bodies get a status: 400, 413, 408. Why bodies are held and not passed through: docs/design/bodies.md. Open: the table of peaks at 64, 128 and 284 MB, and the sum of bodies in the daemon.

--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -27,6 +27,9 @@
 	// written next. The reader blocks while it is full.
 	pipeline chan *Exchange
 
+	// lingers is set if the caller may still be sending a body that is not read.
+	lingers bool
+
 	mu sync.Mutex
 	// openRequests counts the requests that have been read but not answered.
 	openRequests int
@@ -56,6 +59,9 @@
 	close(c.pipeline)
 	<-written
 	c.cancel()
+	if c.lingers {
+		c.linger()
+	}
 	_ = c.raw.Close()
 	c.l.remove(c)
 }
@@ -90,7 +96,12 @@
 		var invalid *requestError
 		if errors.As(err, &invalid) {
 			c.addOpenRequest()
-			x.Response.SetStatusCode(invalid.status)
+			c.lingers = invalid.bodyUnread
+			if invalid.status == fasthttp.StatusServiceUnavailable {
+				c.l.cfg.Refuse(x)
+			} else {
+				x.Response.SetStatusCode(invalid.status)
+			}
 			x.Response.SetConnectionClose()
 			close(x.done)
 			c.pipeline <- x
@@ -112,9 +123,13 @@
 	})
 }
 
-// requestError is an invalid request, which gets a response with an error status
-// instead of being handled.
-type requestError struct{ status int }
+// requestError is a request that is invalid or finds no memory, which gets a response with an
+// error status instead of being handled. bodyUnread is set if the caller may still be sending
+// its body.
+type requestError struct {
+	status     int
+	bodyUnread bool
+}
 
 // Error implements error.
 func (e *requestError) Error() string { return fasthttp.StatusMessage(e.status) }
@@ -133,21 +148,9 @@
 		return classifyHeaderError(err)
 	}
 	if limits.MaxHeaderBytes > 0 && len(h.Header()) > limits.MaxHeaderBytes {
-		return &requestError{fasthttp.StatusRequestHeaderFieldsTooLarge}
-	}
-	c.setReadDeadline(time.Now().Add(bodyTimeout))
-	if x.Request.MayContinue() {
-		if _, err := c.raw.Write(continueResponse); err != nil {
-			return err
-		}
-	}
-	if err := x.Request.ContinueReadBody(c.in, limits.MaxBodyBytes, false); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			return &requestError{fasthttp.StatusRequestEntityTooLarge}
-		}
-		return err
+		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge}
 	}
-	return nil
+	return c.readBody(x, limits.MaxBodyBytes)
 }
 
 // bodyTimeout is how long a caller may take to send a body. It equals the timeout
@@ -164,13 +167,13 @@
 	var netErr net.Error
 	switch {
 	case errors.As(err, &bufferErr):
-		return &requestError{fasthttp.StatusRequestHeaderFieldsTooLarge}
+		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge}
 	case errors.As(err, &netErr):
-		return &requestError{fasthttp.StatusRequestTimeout}
+		return &requestError{status: fasthttp.StatusRequestTimeout}
 	case isConnectionError(err):
 		return err
 	}
-	return &requestError{fasthttp.StatusBadRequest}
+	return &requestError{status: fasthttp.StatusBadRequest}
 }
 
 // setIdleDeadline limits the wait for the next request to the idle timeout, or
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 	"github.com/shallotspool/shallotspool/node/internal/sockets"
 )
 
@@ -45,6 +46,8 @@
 	// as the handler may change the request.
 	callerCloses, isHead bool
 	done                 chan struct{}
+	// bodyLease is charged with the memory of the request's body.
+	bodyLease *memory.Lease
 	// release is called once the response has been written or discarded; see OnRelease.
 	release func()
 }
@@ -53,8 +56,10 @@
 // has been written or discarded. Only a handler may call it, once.
 func (x *Exchange) OnRelease(release func()) { x.release = release }
 
-// finish frees the response.
+// finish frees the request and the response.
 func (x *Exchange) finish() {
+	x.Request.Reset()
+	x.bodyLease.Release()
 	x.Response.Reset()
 	if x.release != nil {
 		x.release()
@@ -85,6 +90,13 @@
 	// TCPTimeouts sets the TCP timeouts of connections; nil means the system's
 	// defaults.
 	TCPTimeouts *sockets.TCPTimeouts
+	// Memory returns the lease that the body of a request is charged to, and until when that
+	// body may wait for memory before it is read. Only the header of the request is known
+	// then. A nil lease, or a nil Memory, does not limit it.
+	Memory func(x *Exchange) (lease *memory.Lease, waitUntil time.Time)
+	// Refuse fills in the response to a request whose body finds no memory. It must be set if
+	// Memory is.
+	Refuse func(x *Exchange)
 	// Go runs a function in a new goroutine.
 	Go func(func())
 }
--- a/node/internal/pool/exchange.go
+++ b/node/internal/pool/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/shallotspool/shallotspool/node/internal/body"
 	"github.com/shallotspool/shallotspool/node/internal/memory"
 )
 
@@ -19,7 +20,7 @@
 	// ErrTooManyInterim means that too many 1xx responses precede the final one.
 	ErrTooManyInterim = errors.New("too many 1xx responses")
 	// ErrTooLarge means that the body exceeds ExchangeOptions.MaxBodyBytes.
-	ErrTooLarge = errors.New("response body is over the size limit")
+	ErrTooLarge = body.ErrTooLarge
 	// ErrTooManyUnmatched means that too many responses to other requests
 	// precede the one to this request, or that one of them ends the connection.
 	ErrTooManyUnmatched = errors.New("too many responses to other requests")
@@ -45,7 +46,7 @@
 	// MaxBodyBytes is the maximum size of a response body, in bytes.
 	MaxBodyBytes int
 	// Lease is charged with the memory of the body, nil if that is not limited in total.
-	// A body with a stated length waits for memory until WaitUntil; others fail.
+	// It waits for memory until WaitUntil before the body is read; see body.Reader.
 	Lease     *memory.Lease
 	WaitUntil time.Time
 	// AllowUnknownLength accepts a response without a length, whose body ends
@@ -148,6 +149,26 @@
 	return nil
 }
 
+// readBody reads the body of resp whole.
+func readBody(c *Conn, resp *fasthttp.Response, opts ExchangeOptions) error {
+	reader := &body.Reader{In: c.Reader, Max: opts.MaxBodyBytes, Lease: opts.Lease, WaitUntil: opts.WaitUntil}
+	var read []byte
+	var err error
+	switch length := resp.Header.ContentLength(); {
+	case length >= 0:
+		read, err = reader.ReadSized(length)
+	case length == chunkedLength:
+		read, err = reader.ReadChunks()
+	default:
+		read, err = reader.ReadToEnd()
+	}
+	if err != nil {
+		return err
+	}
+	resp.SetBodyRaw(read)
+	return nil
+}
+
 // chunkedLength is the value that fasthttp's ContentLength returns for a
 // chunked body.
 const chunkedLength = -1
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -27,10 +27,8 @@
 	responseGrace = 50 * time.Millisecond
 	// maxResponseBytes limits the size of one response; see responseLimit.
 	maxResponseBytes = 64 << 20
-	// responseMemoryShare is the share of the instance's memory that the responses held at
-	// one time may take, and maxResponseShare the share of that for a single one.
-	responseMemoryShare = 0.25
-	maxResponseShare    = 0.5
+	// maxResponseShare is the share of the memory for bodies that a single response may take.
+	maxResponseShare = 0.5
 	// maxPeerIdle is how long an idle connection to another node is kept. It is long
 	// enough for infrequent but steady requests to reuse connections, and short because
 	// TCP keep-alive probes every idle connection.
@@ -165,14 +163,9 @@
 	return mesh.Outcome{Kind: mesh.OutcomeAnswered, ReachedUpstream: true, Status: req.response.StatusCode()}
 }
 
-// newResponseMemory returns the memory for all responses that an instance holds at a time.
-func newResponseMemory(s *Settings) *memory.Budget {
-	return memory.NewBudget(int(responseMemoryShare * float64(s.Limits.MemoryMB<<20)))
-}
-
 // responseLimit returns the largest size of one response.
 func (s *Sidecar) responseLimit() int {
-	return min(maxResponseBytes, int(maxResponseShare*float64(s.responseMemory.Limit())))
+	return min(maxResponseBytes, int(maxResponseShare*float64(s.bodyMemory.Limit())))
 }
 
 // endedByRemote reports whether the remote side ended the connection.
--- a/node/sidecar/gauges.go
+++ b/node/sidecar/gauges.go
@@ -63,7 +63,10 @@
 	for _, refused := range s.node.RefusedRetries() {
 		add("shallot_repeats_refused_total", "cause", refused.Cause.String(), float64(refused.Count))
 	}
-	add("shallot_response_memory_bytes", "", "", float64(s.responseMemory.Used()))
+	requestMemory := s.bodyMemory.UsedByRequests()
+	add("shallot_request_memory_bytes", "", "", float64(requestMemory))
+	add("shallot_response_memory_bytes", "", "", float64(s.bodyMemory.Used()-requestMemory))
+	add("shallot_body_memory_limit_bytes", "", "", float64(s.bodyMemory.Limit()))
 	add("shallot_uptime_seconds", "", "", now.Seconds())
 	for _, peer := range s.node.PeerReports(now) {
 		add("shallot_heartbeat_age_seconds", "instance", peer.Instance, peer.HeartbeatAge.Seconds())
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -74,10 +74,10 @@
 
 	store        store.Reader
 	upstreamPool *pool.Pool
-	// responseMemory bounds the memory of all responses held.
-	responseMemory *memory.Budget
-	peerPoolsMu    sync.Mutex
-	peerPools      map[string]*pool.Pool
+	// bodyMemory bounds the memory of the bodies of all requests and responses held.
+	bodyMemory  *memory.Budget
+	peerPoolsMu sync.Mutex
+	peerPools   map[string]*pool.Pool
 
 	callerListener, peerListener, readyListener, metricsListener *listener.Listener
 	heartbeatConn                                                *net.UDPConn
@@ -102,7 +102,7 @@
 		log: logging.New(out, level, logging.Field{Key: "node", Value: s.Node}),
 	}
 	sc.settings.Store(s)
-	sc.responseMemory = newResponseMemory(s)
+	sc.bodyMemory = newBodyMemory(s)
 	debug.SetMemoryLimit(int64(heapLimitShare * float64(s.Limits.MemoryMB<<20)))
 	sc.ctx, sc.cancel = context.WithCancel(context.Background())
 	sc.tasks = task.NewGroup(sc.fail)
@@ -164,8 +164,14 @@
 			return errors.Wrap(err, "listen")
 		}
 		cfg := listener.Config{Handler: l.handler, Limits: s.callerLimits, MaxConnections: maxConnections, Go: s.tasks.Go}
-		if l.destination == &s.peerListener {
+		switch l.destination {
+		case &s.callerListener:
+			cfg.Memory, cfg.Refuse = s.callerBodyMemory, s.refuseCallerBody
+		case &s.peerListener:
 			cfg.Limits, cfg.TCPTimeouts = s.peerLimits, &tcpTimeouts
+			cfg.Memory, cfg.Refuse = s.peerBodyMemory, s.refusePeerBody
+		default:
+			cfg.Limits = noBodies
 		}
 		*l.destination = listener.New(cfg)
 		s.tasks.Go(func() {
@@ -210,6 +216,9 @@
 	maxNodeHeaderBytes = 2 << 10
 )
 
+// noBodies returns the limits for listeners whose requests have no bodies.
+func noBodies() listener.Limits { return listener.Limits{MaxBodyBytes: 1} }
+
 // peerLimits returns the limits for requests from other nodes. They leave room for the
 // header fields that nodes add.
 func (s *Sidecar) peerLimits() listener.Limits {
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -54,14 +54,26 @@
 	}
 	resp := &x.Response
 	if o.Kind != mesh.OutcomeAnswered {
-		resp.Reset()
-		resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		resp.Header.SetNoDefaultContentType(true)
-		resp.Header.Set(s.dialect.Headers.RequestID, req.id)
-	} else {
-		removeHopByHopHeaders(&resp.Header)
-		resp.Header.ResetConnectionClose()
+		s.respondWithoutAnswer(x, req.id, o)
+		return
 	}
+	removeHopByHopHeaders(&resp.Header)
+	resp.Header.ResetConnectionClose()
+	s.setResult(resp, o)
+}
+
+// respondWithoutAnswer responds to another node without a response of the upstream.
+func (s *Sidecar) respondWithoutAnswer(x *listener.Exchange, id string, o mesh.Outcome) {
+	resp := &x.Response
+	resp.Reset()
+	resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	resp.Header.SetNoDefaultContentType(true)
+	resp.Header.Set(s.dialect.Headers.RequestID, id)
+	s.setResult(resp, o)
+}
+
+// setResult adds the outcome and the load of the local upstream to a response to another node.
+func (s *Sidecar) setResult(resp *fasthttp.Response, o mesh.Outcome) {
 	resp.Header.Set(resultHeader, formatResult(o))
 	s.mu.Lock()
 	load := s.node.Load()
@@ -71,7 +83,7 @@
 
 // newLease returns a lease for the response of x, which ends once that is written.
 func (s *Sidecar) newLease(x *listener.Exchange) *memory.Lease {
-	lease := s.responseMemory.NewLease()
+	lease := s.bodyMemory.NewLease()
 	x.OnRelease(lease.Release)
 	return lease
 }
