Take a failed read of the store for an outage only if the next one fails too

Cause: one cut watch counted as an outage. The next answer, which may be the one with the removal, started a grace period of 2 s in which a removed registration only counts as lapsed; nodes that follow the readers learned of it after that. Evidence: TestRemovalAfterCutWatchIsInForceAtOnce on the code before: both readers took the cut for an outage. Change: after a failed read a check follows at once, which does not wait for changes. If it is answered, what it says is in force; if it fails too, the store was away, and registrations that lapsed have their two seconds. While watches end again and again the checks are spaced.

--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -58,6 +58,8 @@
 	// storeAnsweredAt is the time of the last answer of the store, 0 if it does not
 	// answer or this node does not read it.
 	storeAnsweredAt time.Duration
+	// health is what the last reads tell of the store.
+	health storeHealth
 	// storeListed is set if this node knows the content of the store at position
 	// watchFrom, so that its next read is a watch from there and not a listing.
 	storeListed bool
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -30,6 +30,7 @@
 // FollowReaders records that this node stops reading the store and follows the readers.
 func (n *Node) FollowReaders() {
 	n.storeAnsweredAt, n.following = 0, true
+	n.health = storeHealth{}
 	n.registry.ClearOutage()
 }
 
--- a/core/mesh/store_reads.go
+++ b/core/mesh/store_reads.go
@@ -14,14 +14,19 @@
 // the node relies on. The result must not be used; the next read is a listing.
 var ErrStoreRestored = errors.New("the store was restored")
 
-// StoreRead is one read of the store: a complete listing, or a watch from a position.
+// StoreRead is one read of the store: a complete listing, or a watch from a position. If Check is
+// set, the read follows a failed one and tells whether the store answers: a watch must not wait
+// for changes.
 type StoreRead struct {
 	List  bool
 	After registry.Position
+	Check bool
 }
 
 // NextRead returns the next read of the store that this node needs.
-func (n *Node) NextRead() StoreRead { return StoreRead{List: !n.storeListed, After: n.watchFrom} }
+func (n *Node) NextRead() StoreRead {
+	return StoreRead{List: !n.storeListed, After: n.watchFrom, Check: n.health.suspect}
+}
 
 // HistoryGone records that the store cannot answer a watch from where this node is, so
 // that the next read is a listing.
@@ -40,6 +45,7 @@
 	}
 	r.MarkStoreUp(now)
 	n.StoreAnswered(now)
+	n.health.answered(read)
 	n.fetchFailingSince = 0
 	defer func() { n.nextReadAt = now + n.discoveryDelay(now) }()
 	n.storeListed, n.watchFrom = true, position
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -22,9 +22,11 @@
 	// one returns further changes together. Reads of the store are costly, and no change has
 	// to take effect in less than two seconds.
 	batchDelay = 150 * time.Millisecond
-	// minBackoff and maxBackoff limit the mean delay after a failed read.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
+	// readPause is the mean pause after an answer of the store that cannot be used.
+	readPause = 100 * time.Millisecond
+	// checkTimeout is how long the store may take to answer a check, which does not wait for
+	// changes. A store that answers takes milliseconds.
+	checkTimeout = 500 * time.Millisecond
 )
 
 // followPollInterval is the mean time between two checks of a node that does not read
@@ -34,7 +36,7 @@
 // runStoreReads keeps the routing table and the registry up to date until the node
 // stops. While enough other nodes read the store, it leaves reading to them.
 func (s *Sidecar) runStoreReads() {
-	r := storeReadLoop{sidecar: s, available: true, backoff: minBackoff}
+	r := storeReadLoop{sidecar: s, available: true}
 	// Before its first read a node is in the same position as during an outage: nothing
 	// that it knows is confirmed by the store.
 	s.markStoreLost()
@@ -59,16 +61,14 @@
 	s.mu.Unlock()
 }
 
-// storeReadLoop is the state of reading the store. available is false from the first
-// failed read until a read succeeds or this node follows others. following means that
-// other nodes read the store for this one. backoff is the mean delay after the next
-// failed read.
+// storeReadLoop is the state of reading the store. available is false from when the store
+// is lost until a read succeeds or this node follows others. following means that other
+// nodes read the store for this one.
 type storeReadLoop struct {
 	sidecar              *Sidecar
 	available, following bool
 	// position is that of the last successful read.
 	position registry.Position
-	backoff  time.Duration
 }
 
 // followReaders makes the node follow the nodes that read the store, unless it already
@@ -98,6 +98,8 @@
 	var err error
 	if read.List {
 		changes, err = r.sidecar.store.List()
+	} else if read.Check {
+		changes, err = r.sidecar.store.Watch(read.After.Revision, 0, checkTimeout)
 	} else {
 		changes, err = r.sidecar.store.Watch(read.After.Revision, watchTimeout, watchResponseSlack)
 	}
@@ -109,18 +111,18 @@
 		if !read.List && changes.Position().After(r.position) {
 			r.sidecar.sleepWithJitter(batchDelay)
 		}
-		r.available, r.backoff, r.position = true, minBackoff, changes.Position()
+		r.available, r.position = true, changes.Position()
 	case errors.Is(err, mesh.ErrStoreRestored):
 		r.sidecar.log.Warn("store restored", field("era", changes.Era), field("revision", changes.Revision),
 			field("previous_era", r.position.Era), field("previous_revision", r.position.Revision), field("listed", read.List))
-		r.waitBeforeNextRead()
+		r.sidecar.sleepWithJitter(readPause)
 	case errors.Is(err, store.ErrRevisionGone):
 		r.sidecar.log.Warn("store history gone", field("era", r.position.Era), field("revision", r.position.Revision))
 		r.sidecar.historyGone()
 	case errors.Is(err, store.ErrUnreadable) && !read.List:
 		r.sidecar.log.Warn("store response not readable", field("era", r.position.Era), field("revision", r.position.Revision), field("error", err))
 		r.sidecar.historyGone()
-		r.waitBeforeNextRead()
+		r.sidecar.sleepWithJitter(readPause)
 	default:
 		r.handleError(err)
 	}
@@ -142,27 +144,29 @@
 	r.sidecar.mu.Unlock()
 }
 
-// handleError logs the first of several consecutive failures and waits before the next
-// read.
+// handleError records a failed read, logs it if the store was answering before, and waits before
+// the next read.
 func (r *storeReadLoop) handleError(err error) {
-	if r.available {
+	r.sidecar.mu.Lock()
+	failure := r.sidecar.node.ReadFailed()
+	r.sidecar.mu.Unlock()
+	switch {
+	case !failure.Lost:
+		r.sidecar.log.Info("read of store failed", field("era", r.position.Era), field("revision", r.position.Revision), field("error", err))
+	case r.available:
 		r.available = false
 		r.sidecar.log.Warn("store lost", field("era", r.position.Era), field("revision", r.position.Revision), field("error", err))
-		r.sidecar.markStoreLost()
 	}
-	r.waitBeforeNextRead()
-}
-
-// waitBeforeNextRead waits after a failed read, longer after each further one.
-func (r *storeReadLoop) waitBeforeNextRead() {
-	r.sidecar.sleepWithJitter(r.backoff)
-	r.backoff = min(2*r.backoff, maxBackoff)
+	r.sidecar.sleep(failure.Pause)
 }
 
 // sleepWithJitter sleeps for a random time between 0.5 and 1.5 times d, or until the
 // node stops.
-func (s *Sidecar) sleepWithJitter(d time.Duration) {
-	timer := time.NewTimer(d/2 + rand.N(d))
+func (s *Sidecar) sleepWithJitter(d time.Duration) { s.sleep(d/2 + rand.N(d)) }
+
+// sleep sleeps for d, or until the node stops.
+func (s *Sidecar) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
