Measure the age of a lost request on a clock that counts suspensions

What callers saw: nothing; a suspicion of the review, shown by a test with an injected clock. Cause: a node that asks another one whether a request has arrived tells how long ago it was sent, by a clock that stands still while its machine is suspended. If the other node is restarted meanwhile, the request seems younger than the new process, which calls it 'not arrived', though the process before it may have run it (TWICE, REFUSED). Evidence: TestSuspensionCountsInAgeOfRequest: with an age that leaves the suspension out, the request counts as not arrived. Change: the age is measured by CLOCK_BOOTTIME, and an answer is not relied on if the machine was suspended while the question was on its way. The clock of the node that is asked may stand still: that only makes it answer 'unknown' more often.

--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -70,7 +70,7 @@
 // sendToPeer forwards req to the node at instance, whose upstream is to run it.
 func (s *Sidecar) sendToPeer(ctx context.Context, req *upstreamRequest, instance string) mesh.Outcome {
 	req.request.Header.Set(rankHeader, formatRank(req))
-	sentAt := s.now()
+	sentAt := s.bootTime()
 	o := s.exchange(ctx, s.peerPool(instance), req, maxPeerIdle, s.peerMatcher(req))
 	if o.Kind != mesh.OutcomeAnswered {
 		// A peer that is alive normally responds within responseGrace of the deadline,
--- a/node/sidecar/fence.go
+++ b/node/sidecar/fence.go
@@ -24,6 +24,9 @@
 	ageParam = "age_ms"
 	// fenceTimeout limits the time for the question. It is short, because the caller waits.
 	fenceTimeout = 300 * time.Millisecond
+	// maxFenceTime is how long the question may take on a machine that runs. The node that is
+	// asked allows for it.
+	maxFenceTime = time.Second
 	// maxFenceBytes limits the size of the answer.
 	maxFenceBytes = 64
 )
@@ -57,16 +60,22 @@
 	x.Response.SetBodyString(fenceAnswers[result])
 }
 
-// fence asks the node at instance, on a new connection, whether a request that was sent at a
-// time has arrived. It reports true if it has not and never will run.
+// fence asks the node at instance, on a new connection, whether a request that was sent at a time
+// of s.bootTime has arrived. It reports true if it has not and never will run. The node judges by
+// the age of the request whether it has known all requests since; a suspension of this machine
+// counts in that age.
 func (s *Sidecar) fence(ctx context.Context, req *upstreamRequest, instance string, sentAt time.Duration) bool {
 	timeout := min(fenceTimeout, req.deadline-s.now())
 	if timeout <= 0 || ctx.Err() != nil {
 		return false
 	}
-	answer, err := s.askFence(req.id, instance, s.now()-sentAt, timeout)
-	s.log.Info("asked whether request arrived", field("request", req.id), field("instance", instance), field("answer", answer), field("error", err))
-	return err == nil && answer == fenceAnswers[mesh.FenceSet]
+	askedAt := s.bootTime()
+	answer, err := s.askFence(req.id, instance, askedAt-sentAt, timeout)
+	// The age was too low if this machine was suspended before the question was sent.
+	suspended := s.bootTime()-askedAt > maxFenceTime
+	s.log.Info("asked whether request arrived", field("request", req.id), field("instance", instance), field("answer", answer),
+		field("suspended", suspended), field("error", err))
+	return err == nil && !suspended && answer == fenceAnswers[mesh.FenceSet]
 }
 
 func (s *Sidecar) askFence(id, instance string, age, timeout time.Duration) (answer string, err error) {
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -58,6 +58,8 @@
 	metrics      *metrics.Metrics
 	tasks        *task.Group
 	started      time.Time
+	// bootTime is a clock that goes on while the machine is suspended.
+	bootTime func() time.Duration
 	// instance is the IP address by which other nodes identify this one.
 	instance string
 
@@ -97,7 +99,7 @@
 		return nil, errors.Mark(errors.Wrap(err, "log_level"), ErrInvalidSettings)
 	}
 	sc := &Sidecar{
-		settingsPath: settingsPath, dialect: d, metrics: metrics.New(), started: time.Now(), instance: s.instance(),
+		settingsPath: settingsPath, dialect: d, metrics: metrics.New(), started: time.Now(), bootTime: bootTime, instance: s.instance(),
 		waiters: map[uint64]chan concurrency.Decision{}, peerPools: map[string]*pool.Pool{}, fatalErrors: make(chan error, 1),
 		log: logging.New(out, level, logging.Field{Key: "node", Value: s.Node}),
 	}
