--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -70,6 +70,7 @@
 	store         *standin.Store
 	instances     []*instance
 	latestVersion atomic.Int64  // of the routing table
+	oddEntries    atomic.Int64  // counts the odd entries written
 	ready         []atomic.Bool // by instance: whether its node accepts callers
 
 	registryMu sync.Mutex // serialises the writes of registry entries
--- a/harness/faults/schedule.go
+++ b/harness/faults/schedule.go
@@ -110,6 +110,20 @@
 		r.restoreStore()
 		return r.store.ClearFaults
 	}},
+	{name: "watches_cut", global: true, planned: true, inject: func(r *runner, _ *instance) func() {
+		r.store.CutWatches()
+		return func() {}
+	}},
+	{name: "odd_entry", global: true, planned: true, inject: func(r *runner, _ *instance) func() { return r.writeOddEntry() }},
+	{name: "large_entries", global: true, planned: true, inject: func(r *runner, _ *instance) func() { return r.writeLargeEntries() }},
+	{name: "upstream_repeats", inject: func(_ *runner, n *instance) func() {
+		n.upstream.repeatsRefusals.Store(true)
+		return func() { n.upstream.repeatsRefusals.Store(false) }
+	}},
+	{name: "upstream_cuts_heads", inject: func(_ *runner, n *instance) func() {
+		n.upstream.cutsHeads.Store(true)
+		return func() { n.upstream.cutsHeads.Store(false) }
+	}},
 	{name: "table", global: true, planned: true, inject: func(r *runner, _ *instance) func() {
 		r.publishTable()
 		return func() {}
