--- a/harness/cmd/harness/faults.go
+++ b/harness/cmd/harness/faults.go
@@ -29,6 +29,9 @@
 	o := faults.Options{}
 	flags.IntVar(&o.Nodes, "nodes", defaultFaultNodes, "number of node processes")
 	flags.IntVar(&o.Callers, "callers", defaultFaultCallers, "number of callers")
+	flags.IntVar(&o.MemoryMB, "memory", 0, "memory of each node, in MB; 0 for the default of its settings")
+	flags.IntVar(&o.Uploads, "uploads", 0, "senders of large bodies in the scenario uploads; 0 for its default")
+	flags.IntVar(&o.UploadMB, "upload-mb", 0, "size of these bodies, in MB; 0 for its default")
 	flags.StringVar(&o.Binary, "binary", "", "path of the node's program")
 	scenario := flags.String("scenario", "", fmt.Sprintf("fixed combination of faults instead of the schedule of the seed: one of %v", faults.Scenarios()))
 	broken := flags.Bool("broken", false, "build in one defect after the other and verify that a check detects each")
@@ -69,6 +72,9 @@
 		}
 		total.Requests += report.Requests
 		total.Served += report.Served
+		for status, count := range report.Uploads {
+			total.Faults[fmt.Sprint("upload_", status)] += count
+		}
 		total.PeakMemory = max(total.PeakMemory, report.PeakMemory)
 		total.RetryShare = max(total.RetryShare, report.RetryShare)
 		for kind, count := range report.Faults {
--- a/harness/faults/caller.go
+++ b/harness/faults/caller.go
@@ -34,7 +34,7 @@
 	}
 	t := &route.Table{Version: route.Version(version), Services: map[string]route.Service{
 		frontService: {Name: frontService}, leafService: {Name: leafService},
-	}}
+	}, Limits: route.Limits{BodyBytes: maxBodyBytes}}
 	add := func(name, prefix, service string, idempotent bool, priority int, timeout time.Duration) {
 		t.Routes = append(t.Routes, &route.Route{
 			Name: name, Host: virtualHost, Prefix: prefix, Idempotent: idempotent, Timeout: timeout, Goal: time.Second,
@@ -44,6 +44,7 @@
 	// The upstream that serves a tree request makes a leaf call; see upstream.handle.
 	add("tree", "/tree/", frontService, true, 1, timeout)
 	add("order", "/order/", frontService, false, 0, callerTimeout)
+	add("upload", uploadPath, frontService, false, 3, uploadTimeout)
 	add("leaf", "/leaf/", leafService, true, 1, callTimeout)
 	for v := 1; v <= version; v++ {
 		add(fmt.Sprint("v", v), fmt.Sprint(versionPath, v, "/"), frontService, true, 2, callerTimeout)
--- a/harness/faults/checks.go
+++ b/harness/faults/checks.go
@@ -49,6 +49,7 @@
 	{"config_back", findTableRollbacks}, {"config_late", findLateTables}, {"budget", findExcessRetries},
 	{"deadline", findWrongDeadlines}, {"cancel", findMissedCancellations}, {"recovery", findFailedRecovery},
 	{"crasher", findCrashersNotStopped}, {"popular", findPopularNotServed}, {"endless", findEndlessAnswersRead},
+	{"uploads", findUploadsWithoutAnswer},
 }
 
 // anyInstance stands for all instances in place of the index of one.
--- a/harness/faults/endless.go
+++ b/harness/faults/endless.go
@@ -24,8 +24,6 @@
 	endlessPause  = 2 * time.Second
 	// maxEndlessTime is how long a node may read an answer without end.
 	maxEndlessTime = callTimeout + faultEffectTime
-	// nodeMemory is the memory of an instance, in bytes: the default of the settings.
-	nodeMemory = 256 << 20
 	// endlessBlock is the number of bytes written at a time.
 	endlessBlock = 64 << 10
 )
@@ -126,7 +124,7 @@
 	for _, n := range r.instances {
 		n.recordPeakMemory()
 		peak = max(peak, n.peakMemory)
-		if n.peakMemory > nodeMemory {
+		if n.peakMemory > int64(r.options.MemoryMB)<<20 {
 			r.recordViolation("memory", fmt.Sprintf("node %d took %d MB", n.index, n.peakMemory>>20))
 		}
 	}
--- a/harness/faults/history.go
+++ b/harness/faults/history.go
@@ -15,6 +15,8 @@
 	faults    []fault
 	drains    []drainPeriod
 	endless   []endlessAnswer
+	// uploads are the requests with large bodies.
+	uploads []upload
 	// publishedAt is when each version of the routing table was published.
 	publishedAt map[int]time.Duration
 }
--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -64,6 +64,8 @@
   retry_ratio: %[12]v
   retry_slack: %[13]v
   retry_window_seconds: %[14]v
+limits:
+  memory_mb: %[15]d
 `
 
 // newInstance prepares instance i and starts its upstream and proxies, but not the
@@ -77,14 +79,14 @@
 	n.upstream = &upstream{
 		history: h, service: service, id: fmt.Sprintf(upstreamIDFormat, i), address: n.address(p.upstream),
 		nodeAddress: n.address(p.callers), workTime: upstreamWorkTime, defect: o.Defect,
-		outlivedByListener: o.Scenario == ListenerScenario,
+		outlivedByListener: o.Scenario == ListenerScenario, streamsBodies: o.Scenario == UploadScenario,
 	}
 	ratio := retryRatio
 	if o.Defect == unlimitedRetries {
 		ratio = 100
 	}
 	text := fmt.Sprintf(settingsTemplate, n.ip, service, n.dataCentre(), p.callers, secondIP, p.peers, p.ready, p.heartbeats,
-		p.metrics, p.upstream, p.store, ratio, retrySlack, retryWindow.Seconds())
+		p.metrics, p.upstream, p.store, ratio, retrySlack, retryWindow.Seconds(), o.MemoryMB)
 	if err := os.WriteFile(n.settingsPath(), []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -6,6 +6,7 @@
 package faults
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -36,6 +37,22 @@
 	Defect Defect
 	// Scenario selects a fixed combination of faults instead of the schedule of the seed.
 	Scenario Scenario
+	// MemoryMB is the memory of each node, in units of 2^20 bytes, 0 for the default.
+	MemoryMB int
+	// Uploads is the number of senders of large bodies in UploadScenario, and UploadMB the size
+	// of these bodies in units of 2^20 bytes; 0 for the default.
+	Uploads, UploadMB int
+}
+
+// defaultMemoryMB is the memory of a node that Options do not state: the default of the settings.
+const defaultMemoryMB = 256
+
+// withDefaults returns the options with the defaults filled in.
+func (o Options) withDefaults() Options {
+	o.MemoryMB = cmp.Or(o.MemoryMB, defaultMemoryMB)
+	o.Uploads = cmp.Or(o.Uploads, defaultUploads)
+	o.UploadMB = cmp.Or(o.UploadMB, defaultUploadMB)
+	return o
 }
 
 // Report is the result of a run.
@@ -49,6 +66,8 @@
 	RetryShare float64
 	// PeakMemory is the most memory that a node's process took, in bytes.
 	PeakMemory int64
+	// Uploads counts the requests with large bodies by the status of their answers.
+	Uploads map[int]int
 	// Violations lists the violated guarantees as "check: description".
 	Violations []string
 }
@@ -85,6 +104,7 @@
 	if err := validateScenario(o.Scenario); err != nil {
 		return Report{}, err
 	}
+	o = o.withDefaults()
 	if o.Scenario == RetryScenario {
 		o.Callers = scenarioCallers
 	}
@@ -344,6 +364,7 @@
 		}
 	}
 	report.PeakMemory = r.reportMemory()
+	report.Uploads = r.history.countUploads()
 	for _, n := range r.instances {
 		if n.waitExited(0) {
 			r.recordViolation("exit", fmt.Sprintf("node %d exited unexpectedly", n.index))
--- a/harness/faults/scenario.go
+++ b/harness/faults/scenario.go
@@ -24,11 +24,13 @@
 	// EndlessScenario sends requests whose answers have no end, while nodes are killed in
 	// series.
 	EndlessScenario Scenario = "endless"
+	// UploadScenario sends large bodies that upstreams read slowly, beside other requests.
+	UploadScenario Scenario = "uploads"
 )
 
 // Scenarios returns all scenarios.
 func Scenarios() []Scenario {
-	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario}
+	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario}
 }
 
 const (
@@ -56,6 +58,9 @@
 
 // planScenario returns the faults of a scenario.
 func planScenario(o Options) (out []scheduledFault) {
+	if o.Scenario == UploadScenario {
+		return []scheduledFault{{startAt: time.Second, kind: faultKind{name: "uploads", global: true, inject: sendUploads}}}
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 2))
 	lifetime := minLifetime + time.Duration(random.Int64N(int64(maxLifetime-minLifetime)))
 	if o.Scenario != RetryScenario {
--- a/harness/faults/upstream.go
+++ b/harness/faults/upstream.go
@@ -34,8 +34,10 @@
 	// outlivedByListener makes crash leave the proxy listening, as a listener does that
 	// another process holds.
 	outlivedByListener bool
-	requestCount       atomic.Int64 // selects every second request
-	callCount          atomic.Int64
+	// streamsBodies is set if bodies are large and are not held.
+	streamsBodies bool
+	requestCount  atomic.Int64 // selects every second request
+	callCount     atomic.Int64
 
 	mu     sync.Mutex
 	server *fasthttp.Server
@@ -65,7 +67,10 @@
 	}
 	u.serving = true
 	u.conns = map[net.Conn]struct{}{}
-	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, ConnState: u.trackConn, Logger: discardLogger{}}
+	u.server = &fasthttp.Server{
+		Handler: u.handle, NoDefaultServerHeader: true, ConnState: u.trackConn, Logger: discardLogger{},
+		StreamRequestBody: u.streamsBodies, MaxRequestBodySize: maxBodyBytes,
+	}
 	server := u.server
 	go func() { _ = server.Serve(ln) }()
 	return nil
@@ -152,6 +157,10 @@
 		return
 	}
 	u.history.recordArrival(a)
+	if strings.HasPrefix(id, uploadsID) {
+		u.receiveUpload(ctx)
+		return
+	}
 	if u.defect == falseNotExecuted && u.requestCount.Add(1)%2 == 0 {
 		ctx.Response.Header.Set(platform.HeaderNotExecuted, "1")
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/node/sidecar/fuzz_test.go
+++ b/node/sidecar/fuzz_test.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +109,32 @@
 		}
 	})
 }
+
+// TestLargestStateFitsItsLimit guards against a state of valid registrations that no other node
+// takes, because it is too large.
+func TestLargestStateFitsItsLimit(t *testing.T) {
+	// The most registrations and removals that a node remembers, with names of the longest length.
+	const entries, nameBytes = 10_000, 256
+	name := strings.Repeat("x", nameBytes)
+	u := registry.Upstream{
+		ID: name, Service: name, Address: "[2001:db8:ffff:ffff:ffff:ffff:ffff:ffff]:65535", Instance: "2001:db8:ffff:ffff:ffff:ffff:ffff:ffff",
+		DataCentre: name, Slots: 1_000_000, ColdUntil: time.Hour, Born: math.MaxInt64, Sequence: math.MaxInt64, Revision: math.MaxUint64, Era: math.MaxUint64,
+	}
+	if err := u.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	state := mesh.StoreState{Upstreams: slices.Repeat([]registry.Upstream{u}, entries), Removals: slices.Repeat([]registry.Upstream{u}, entries), Present: slices.Repeat([]string{name}, entries)}
+	// A document of 1 MB has at most this many routes.
+	const routes = 1 << 20 / 64
+	state.Table = testTable(1)
+	r := *state.Table.Routes[0]
+	r.Host = strings.Repeat("h", 255)
+	state.Table.Routes = slices.Repeat([]*route.Route{&r}, routes)
+	data, err := cbor.Marshal(state)
+	if err != nil || len(data) > maxStateBytes {
+		t.Fatalf("%d bytes, error %v; want at most %d", len(data), err, maxStateBytes)
+	}
+	if decoded, invalid, err := decodeState(data); err != nil || len(invalid) != 0 || len(decoded.Upstreams) != entries {
+		t.Fatalf("%d registrations, problems %v, error %v; want all %d", len(decoded.Upstreams), invalid, err, entries)
+	}
+}
