Count a request's deadline from its header, and read no body beyond it

Cause: Deadline-Ms was counted from when the whole request had been read, at the entry and again beside the upstream, and a body was read for 30 s whatever its sender waits. Change: the deadline, also that of the route, counts from the arrival of the header; a body that is not read by then is answered 408, which says that it has not run.

--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -19,9 +19,11 @@
 	Sender string
 	// Parent is the ID of the request on whose behalf this one may be made.
 	Parent string
-	// Timeout is the time for which the sender still waits for an answer, 0 if it did
-	// not state one.
-	Timeout time.Duration
+	// Timeout is the time for which the sender waits for an answer from the header on, 0 if
+	// it did not state one. HeaderAgo is the time since the header arrived: a body may take
+	// long.
+	Timeout   time.Duration
+	HeaderAgo time.Duration
 }
 
 // Call is one request at the node where it entered, from its arrival to its answer.
--- a/core/mesh/start.go
+++ b/core/mesh/start.go
@@ -26,15 +26,16 @@
 	if matched == nil {
 		return nil, Step{Kind: StepUnknownRoute, Reason: ReasonNoRoute}
 	}
+	arrived := now - request.HeaderAgo
 	c := &Call{
-		ID: request.ID, fingerprint: request.Fingerprint, Route: matched, RouteID: RouteID(matched), Version: n.table.Version, Arrived: now,
-		Deadline: now + defaultTimeout,
+		ID: request.ID, fingerprint: request.Fingerprint, Route: matched, RouteID: RouteID(matched), Version: n.table.Version, Arrived: arrived,
+		Deadline: arrived + defaultTimeout,
 	}
 	if request.Timeout > 0 {
-		c.Deadline = now + request.Timeout
+		c.Deadline = arrived + request.Timeout
 	}
 	if matched.Timeout > 0 {
-		c.Deadline = min(c.Deadline, now+matched.Timeout)
+		c.Deadline = min(c.Deadline, arrived+matched.Timeout)
 	}
 	c.Rank = Rank{Priority: matched.Priority, Root: c.RouteID}
 	n.inheritRank(now, c, request.Parent)
--- a/node/internal/listener/body.go
+++ b/node/internal/listener/body.go
@@ -35,25 +35,31 @@
 	if length > maxBytes {
 		return &requestError{status: fasthttp.StatusRequestEntityTooLarge, bodyUnread: true}
 	}
-	reader := &body.Reader{In: c.in, Max: maxBytes}
-	if c.l.cfg.Memory != nil {
-		x.bodyLease, reader.WaitUntil = c.l.cfg.Memory(x)
-		reader.Lease = x.bodyLease
+	var terms BodyTerms
+	if c.l.cfg.BodyTerms != nil {
+		terms = c.l.cfg.BodyTerms(x)
 	}
-	err := c.readBodyInto(x, reader, length)
+	x.bodyLease = terms.Lease
+	reader := &body.Reader{In: c.in, Max: maxBytes, Lease: terms.Lease, WaitUntil: terms.WaitUntil}
+	err := c.readBodyInto(x, reader, length, terms.ReadUntil)
 	if err != nil {
 		x.bodyLease.Release()
 	}
 	return classifyBodyError(err)
 }
 
-func (c *conn) readBodyInto(x *Exchange, reader *body.Reader, length int) error {
+// readBodyInto reads a body of a length, or a chunked one, until a time or for bodyTimeout.
+func (c *conn) readBodyInto(x *Exchange, reader *body.Reader, length int, until time.Time) error {
 	if length > 0 {
 		if err := reader.Reserve(length); err != nil {
 			return err
 		}
 	}
-	c.setReadDeadline(time.Now().Add(bodyTimeout))
+	latest := time.Now().Add(bodyTimeout)
+	if !until.IsZero() && until.Before(latest) {
+		latest = until
+	}
+	c.setReadDeadline(latest)
 	if err := c.allowBody(x); err != nil {
 		return err
 	}
--- a/node/internal/listener/body_test.go
+++ b/node/internal/listener/body_test.go
@@ -22,8 +22,8 @@
 	l := listener.New(listener.Config{
 		Handler: h, Limits: func() listener.Limits { return listener.Limits{MaxBodyBytes: maxBody} }, MaxConnections: 64,
 		Go: func(f func()) { go f() },
-		Memory: func(*listener.Exchange) (*memory.Lease, time.Time) {
-			return b.NewRequestLease("", 0), time.Now().Add(pause)
+		BodyTerms: func(*listener.Exchange) listener.BodyTerms {
+			return listener.BodyTerms{Lease: b.NewRequestLease("", 0), WaitUntil: time.Now().Add(pause)}
 		},
 		Refuse: func(x *listener.Exchange) {
 			x.Response.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -147,6 +147,7 @@
 	if err := h.Read(c.in); err != nil {
 		return classifyHeaderError(err)
 	}
+	x.HeaderAt = time.Now()
 	if limits.MaxHeaderBytes > 0 && len(h.Header()) > limits.MaxHeaderBytes {
 		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge}
 	}
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -38,8 +38,9 @@
 	Response fasthttp.Response
 	// RemoteIP is the caller's IP address.
 	RemoteIP netip.Addr
-	// ReceivedAt is the time at which the whole request had been read.
-	ReceivedAt time.Time
+	// HeaderAt is the time at which the header had been read, ReceivedAt that for the whole
+	// request.
+	HeaderAt, ReceivedAt time.Time
 
 	// callerCloses is true if the caller asked to close the connection after the
 	// response, and isHead if the response must not have a body. Both are stored
@@ -79,6 +80,16 @@
 	HeaderTimeout, IdleTimeout time.Duration
 }
 
+// BodyTerms limits the reading of one body.
+type BodyTerms struct {
+	// Lease is charged with the memory of the body; nil does not limit it. The body may wait
+	// for memory until WaitUntil before it is read.
+	Lease     *memory.Lease
+	WaitUntil time.Time
+	// ReadUntil is when the sender no longer waits, zero if that is not known.
+	ReadUntil time.Time
+}
+
 // Config configures a Listener.
 type Config struct {
 	Handler Handler
@@ -90,12 +101,11 @@
 	// TCPTimeouts sets the TCP timeouts of connections; nil means the system's
 	// defaults.
 	TCPTimeouts *sockets.TCPTimeouts
-	// Memory returns the lease that the body of a request is charged to, and until when that
-	// body may wait for memory before it is read. Only the header of the request is known
-	// then. A nil lease, or a nil Memory, does not limit it.
-	Memory func(x *Exchange) (lease *memory.Lease, waitUntil time.Time)
+	// BodyTerms returns how the body of a request may be read. Only the header of the request
+	// is known then. It may be nil.
+	BodyTerms func(x *Exchange) BodyTerms
 	// Refuse fills in the response to a request whose body finds no memory. It must be set if
-	// Memory is.
+	// BodyTerms is.
 	Refuse func(x *Exchange)
 	// Go runs a function in a new goroutine.
 	Go func(func())
--- a/node/sidecar/body_memory.go
+++ b/node/sidecar/body_memory.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/mesh"
+	"github.com/shallotspool/shallotspool/core/route"
 	"github.com/shallotspool/shallotspool/node/internal/listener"
 	"github.com/shallotspool/shallotspool/node/internal/memory"
 )
@@ -39,44 +40,45 @@
 	return memory.NewBudget(max(int(bodyMemoryShare*left), minBodyMemory))
 }
 
-// bodyWaitEnd returns until when the body of a request may wait for memory. timeout is how long
-// its sender waits, 0 if it is not known.
-func bodyWaitEnd(timeout time.Duration) time.Time {
-	pause := time.Duration(maxBodyPause)
+// bodyTerms returns how a body may be read that is charged to a lease. timeout is how long its
+// sender waits from the header on, 0 if it is not known.
+func bodyTerms(x *listener.Exchange, lease *memory.Lease, timeout time.Duration) listener.BodyTerms {
+	terms := listener.BodyTerms{Lease: lease, WaitUntil: x.HeaderAt.Add(maxBodyPause)}
 	if timeout > 0 {
-		pause = min(pause, time.Duration(bodyPauseShare*float64(timeout)))
+		pause := min(maxBodyPause, time.Duration(bodyPauseShare*float64(timeout)))
+		terms.WaitUntil, terms.ReadUntil = x.HeaderAt.Add(pause), x.HeaderAt.Add(timeout)
 	}
-	return time.Now().Add(pause)
+	return terms
 }
 
-// callerBodyMemory returns the memory of the body of a caller's request, by the priority and the
+// callerBodyTerms returns how the body of a caller's request may be read, by the priority and the
 // name of its route.
-func (s *Sidecar) callerBodyMemory(x *listener.Exchange) (*memory.Lease, time.Time) {
+func (s *Sidecar) callerBodyTerms(x *listener.Exchange) listener.BodyTerms {
 	h := &x.Request.Header
 	s.mu.Lock()
 	table := s.node.Table()
 	s.mu.Unlock()
 	timeout := s.requestTimeout(h)
-	if table == nil {
-		return s.bodyMemory.NewRequestLease("", 0), bodyWaitEnd(timeout)
+	var matched *route.Route
+	if table != nil {
+		matched = table.Lookup(string(h.Host()), string(h.RequestURI()))
 	}
-	matched := table.Lookup(string(h.Host()), string(h.RequestURI()))
 	if matched == nil {
-		return s.bodyMemory.NewRequestLease("", 0), bodyWaitEnd(timeout)
+		return bodyTerms(x, s.bodyMemory.NewRequestLease("", 0), timeout)
 	}
 	if matched.Timeout > 0 && (timeout == 0 || matched.Timeout < timeout) {
 		timeout = matched.Timeout
 	}
-	return s.bodyMemory.NewRequestLease(matched.Key(), matched.Priority), bodyWaitEnd(timeout)
+	return bodyTerms(x, s.bodyMemory.NewRequestLease(matched.Key(), matched.Priority), timeout)
 }
 
-// peerBodyMemory returns the memory of the body of a request from another node, by its rank and
+// peerBodyTerms returns how the body of a request from another node may be read, by its rank and
 // the node.
-func (s *Sidecar) peerBodyMemory(x *listener.Exchange) (*memory.Lease, time.Time) {
+func (s *Sidecar) peerBodyTerms(x *listener.Exchange) listener.BodyTerms {
 	h := &x.Request.Header
 	var req upstreamRequest
 	_ = parseRank(string(h.Peek(rankHeader)), &req) // servePeer refuses a malformed rank
-	return s.bodyMemory.NewRequestLease(x.RemoteIP.String(), req.rank.Priority), bodyWaitEnd(s.requestTimeout(h))
+	return bodyTerms(x, s.bodyMemory.NewRequestLease(x.RemoteIP.String(), req.rank.Priority), s.requestTimeout(h))
 }
 
 // refuseCallerBody responds to a caller that its request has not run, as its body found no memory.
--- a/node/sidecar/caller.go
+++ b/node/sidecar/caller.go
@@ -21,7 +21,7 @@
 	h := &x.Request.Header
 	request := mesh.IncomingRequest{
 		ID: string(h.Peek(s.dialect.Headers.RequestID)), Host: string(h.Host()), Path: string(h.RequestURI()),
-		Timeout: s.requestTimeout(h), Fingerprint: fingerprint(&x.Request), Sender: x.RemoteIP.String(),
+		Timeout: s.requestTimeout(h), HeaderAgo: time.Since(x.HeaderAt), Fingerprint: fingerprint(&x.Request), Sender: x.RemoteIP.String(),
 	}
 	request.Parent = s.dialect.ParentID(request.ID)
 	s.mu.Lock()
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -168,10 +168,10 @@
 		cfg := listener.Config{Handler: l.handler, Limits: s.callerLimits, MaxConnections: maxConnections, Go: s.tasks.Go}
 		switch l.destination {
 		case &s.callerListener:
-			cfg.Memory, cfg.Refuse = s.callerBodyMemory, s.refuseCallerBody
+			cfg.BodyTerms, cfg.Refuse = s.callerBodyTerms, s.refuseCallerBody
 		case &s.peerListener:
 			cfg.Limits, cfg.TCPTimeouts = s.peerLimits, &tcpTimeouts
-			cfg.Memory, cfg.Refuse = s.peerBodyMemory, s.refusePeerBody
+			cfg.BodyTerms, cfg.Refuse = s.peerBodyTerms, s.refusePeerBody
 		default:
 			cfg.Limits = noBodies
 		}
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -33,7 +33,7 @@
 	h := &x.Request.Header
 	req := &upstreamRequest{
 		request: &x.Request, response: &x.Response, id: string(h.Peek(s.dialect.Headers.RequestID)),
-		deadline: s.now() + s.requestTimeout(h), lease: s.newLease(x),
+		deadline: s.now() - time.Since(x.HeaderAt) + s.requestTimeout(h), lease: s.newLease(x),
 	}
 	if !parseRank(string(h.Peek(rankHeader)), req) {
 		s.log.Warn("request from node has no valid rank", field("address", x.RemoteIP))
