Keep the platform's field names of odd entries in its folder

Cause: the soak and a test of shallotd wrote odd registrations with the platform's field names. Change: platform/standin has them, unusable ones apart from those that are only odd; the soak plays more of the unusable ones.

--- a/harness/faults/odd_input.go
+++ b/harness/faults/odd_input.go
@@ -1,23 +1,19 @@
 package faults
 
 import (
+	"bytes"
 	"fmt"
-	"strings"
+	"maps"
+	"slices"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/platform"
+	"github.com/shallotspool/shallotspool/platform/standin"
 )
 
-// oddEntries are registrations of another writer that name no upstream to use.
-var oddEntries = []string{
-	`{"service":"leaf","address":"127.20.200.1:","zone":"a","capacity_slots":5,"instance_state":"ready"}`,
-	`{"service":"leaf","address":"127.20.200.1:99999","zone":"a","capacity_slots":5,"instance_state":"ready"}`,
-	`{"service":"leaf","address":"127.20.200.1:80","zone":"a","capacity_slots":2000000000,"instance_state":"ready"}`,
-	`{"service":"leaf","address":"127.20.200.1:80","zone":"a","capacity_slots":1e400,"instance_state":"ready"}`,
-	`{"nested":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
-	"\xff\xfe",
-}
+// oddIP is the address in odd entries. No instance has it.
+const oddIP = "127.20.200.1"
 
 const (
 	// largeEntries is the number of entries that largeEntryBytes makes too large for one page of
@@ -29,7 +25,9 @@
 // writeOddEntry writes an entry that names no upstream, and then a new table.
 func (r *runner) writeOddEntry() (remove func()) {
 	key := platform.RegistrationPrefix + "odd"
-	r.store.Put(key, []byte(oddEntries[int(r.oddEntries.Add(1))%len(oddEntries)]))
+	entries := standin.UnusableEntries(oddIP, leafService)
+	names := slices.Sorted(maps.Keys(entries))
+	r.store.Put(key, entries[names[int(r.oddEntries.Add(1))%len(names)]])
 	r.publishTable()
 	return func() { r.store.Remove(key) }
 }
@@ -38,7 +36,7 @@
 func (r *runner) writeLargeEntries() (remove func()) {
 	key := func(i int) string { return fmt.Sprintf("%slarge-%d", platform.RegistrationPrefix, i) }
 	for i := range largeEntries {
-		r.store.Put(key(i), []byte(strings.Repeat("x", largeEntryBytes)))
+		r.store.Put(key(i), bytes.Repeat([]byte("x"), largeEntryBytes))
 	}
 	r.publishTable()
 	return func() {
--- a/node/cmd/shallotd/odd_entry_test.go
+++ b/node/cmd/shallotd/odd_entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
@@ -121,41 +122,18 @@
 	}
 }
 
-// oddEntries are entries that another writer left among the registrations. Each value replaces
-// fields of a valid entry.
-var oddEntries = map[string]string{
-	"no port":            `"address":"127.0.5.200:"`,
-	"port out of range":  `"address":"127.0.5.200:99999"`,
-	"named port":         `"address":"127.0.5.200:http"`,
-	"port 0":             `"address":"127.0.5.200:0"`,
-	"other spelling":     `"address":"127.0.5.200:0080"`,
-	"address with zone":  `"address":"[fe80::1%eth0]:80"`,
-	"mapped address":     `"address":"[::ffff:127.0.5.200]:80"`,
-	"many slots":         `"capacity_slots":2000000000`,
-	"slots over 64 bits": `"capacity_slots":99999999999999999999`,
-	"exponent":           `"capacity_slots":1e400`,
-	"cold for ages":      `"cold_left_ms":9223372036854775807`,
-	"negative sequence":  `"sequence":-1`,
-	"negative start":     `"born":-9223372036854775808`,
-	"deeply nested":      `"version":` + strings.Repeat(`[`, 200_000) + strings.Repeat(`]`, 200_000),
-	"nested a little":    `"version":` + strings.Repeat(`[`, 9_000) + strings.Repeat(`]`, 9_000),
-	"long service":       `"service":"` + strings.Repeat("s", 900_000) + `"`,
-	"long zone":          `"zone":"` + strings.Repeat("z", 900_000) + `"`,
-	"not readable":       "\xff\xfe",
-}
-
-// oddEntry returns the value of an odd entry.
-func oddEntry(fields string) []byte {
-	return []byte(`{"service":"s","address":"127.0.5.200:80","zone":"a","capacity_slots":5,"instance_state":"ready","sequence":1,` + fields + `}`)
-}
+// oddIP is the address in odd entries. No node has it.
+const oddIP = "127.0.5.200"
 
 // TestTableComesIntoForceBesideOddEntries guards against one entry of another writer that keeps
 // the nodes which read it, or which follow those, on an earlier table.
 func TestTableComesIntoForceBesideOddEntries(t *testing.T) {
 	f := newStoreFleet(t)
 	version := route.Version(1)
-	for name, fields := range oddEntries {
-		f.store.Put(platform.RegistrationPrefix+"i-odd", oddEntry(fields))
+	entries := standin.UnusableEntries(oddIP, "s")
+	maps.Copy(entries, standin.OddEntries(oddIP, "s"))
+	for name, value := range entries {
+		f.store.Put(platform.RegistrationPrefix+"i-odd", value)
 		version++
 		f.putTable(version)
 		if behind := f.nodesBehind(version); len(behind) > 0 {
@@ -178,7 +156,7 @@
 func expectTableBesideLargeEntries(t *testing.T, entries int) {
 	f := newStoreFleet(t)
 	for i := range entries {
-		f.store.Put(fmt.Sprintf("%si-large-%d", platform.RegistrationPrefix, i), oddEntry(`"version":"`+strings.Repeat("v", 900_000)+`"`))
+		f.store.Put(fmt.Sprintf("%si-large-%d", platform.RegistrationPrefix, i), standin.LargeEntry(oddIP, "s", 900_000))
 	}
 	f.putTable(2)
 	if behind := f.nodesBehind(2); len(behind) > 0 {
