Play silent connections in the fault soak, and count what a fault excuses from the request on

Callers were sent to upstreams that had left, and by an earlier table, for up to 3.75 s after connections to the store went silent; the soak could not see it: no fault of it left a connection silent for good while new ones work, and any fault within 3 s before a change excused all requests after it for ever, also those sent long after the fault. It allowed 2.5 s, too.

The checks drain and config_late now use the bound of 2 s and excuse a request only if a fault of a node or connection had effect within 3 s before it was sent; outages of the store excuse as before. Drain counts arrivals at the upstream, not when the caller sent.

--- a/harness/faults/checks.go
+++ b/harness/faults/checks.go
@@ -13,11 +13,11 @@
 	// faultEffectTime is how long after its end a fault may still affect requests:
 	// nodes may need this long to regain contact with peers, upstreams and the store.
 	faultEffectTime = 3 * time.Second
-	// maxDrainDelay is how long requests may still reach an upstream after it started
-	// to drain.
-	maxDrainDelay = 2500 * time.Millisecond
+	// maxDrainDelay is how long requests may still reach an upstream after the store
+	// acknowledged that it drains or is gone.
+	maxDrainDelay = 2 * time.Second
 	// maxTableDelay is how long nodes may take to use a published routing table.
-	maxTableDelay = 2500 * time.Millisecond
+	maxTableDelay = 2 * time.Second
 	// maxRecoveryTime is how long after the last fault requests may still fail.
 	maxRecoveryTime = 15 * time.Second
 	// In each retryWindow, retryRatio retries for each request and retrySlack more
@@ -68,6 +68,24 @@
 	})
 }
 
+// mayDelayChanges returns whether a change that the store acknowledged at a time may not be in
+// force yet for a request that was sent at another time and reached an upstream at a third: a fault
+// of a node or a connection has effect until faultEffectTime after its end, and an outage of the
+// store on all changes until faultEffectTime after it.
+func (h *history) mayDelayChanges(acknowledged, sentAt, arrivedAt time.Duration) bool {
+	return slices.ContainsFunc(h.faults, func(f fault) bool {
+		end := f.to
+		if end == 0 {
+			end = arrivedAt
+		}
+		from := sentAt
+		if f.outage {
+			from = acknowledged
+		}
+		return !f.planned && f.from <= arrivedAt && end >= from-faultEffectTime
+	})
+}
+
 // executions counts how often each request was executed, by request ID.
 func (h *history) executions() map[string]int {
 	out := map[string]int{}
@@ -141,15 +159,14 @@
 	return violations
 }
 
-// findRequestsToDrained finds requests that reached a draining upstream although they
-// were sent more than maxDrainDelay after the drain started and no unplanned fault could
-// delay its effect.
+// findRequestsToDrained finds requests that reached an upstream more than maxDrainDelay after it
+// began to drain or was removed, although no unplanned fault could delay the effect of that.
 func findRequestsToDrained(h *history) (violations []string) {
 	for _, a := range h.arrivals {
 		r := h.requests[a.id]
 		for _, d := range h.drains {
-			duringDrain := r != nil && d.upstream == a.upstream && r.sentAt > d.from+maxDrainDelay && (d.to == 0 || a.arrivedAt < d.to)
-			if duringDrain && !h.hasUnplannedFault(d.from-faultEffectTime, a.arrivedAt, anyInstance) {
+			duringDrain := r != nil && d.upstream == a.upstream && a.arrivedAt > d.from+maxDrainDelay && (d.to == 0 || a.arrivedAt < d.to)
+			if duringDrain && !h.mayDelayChanges(d.from, r.sentAt, a.arrivedAt) {
 				violations = append(violations, fmt.Sprintf("%s reached %s %v after the drain started", a.id, a.upstream, a.arrivedAt-d.from))
 			}
 		}
@@ -201,7 +218,7 @@
 func findLateTables(h *history) (violations []string) {
 	for _, r := range h.versionedRequests() {
 		due := h.publishedAt[r.routeVersion] + maxTableDelay
-		if r.status == http.StatusNotFound && r.sentAt > due && !h.hasUnplannedFault(h.publishedAt[r.routeVersion]-faultEffectTime, r.sentAt, anyInstance) && !h.recentlyRestarted(r.node, r.sentAt) {
+		if r.status == http.StatusNotFound && r.sentAt > due && !h.mayDelayChanges(h.publishedAt[r.routeVersion], r.sentAt, r.sentAt) && !h.recentlyRestarted(r.node, r.sentAt) {
 			violations = append(violations, fmt.Sprintf("%s at node %d: table version %d not used %v after its publication",
 				r.id, r.node, r.routeVersion, r.sentAt-h.publishedAt[r.routeVersion]))
 		}
--- a/harness/faults/history.go
+++ b/harness/faults/history.go
@@ -58,8 +58,8 @@
 	remaining time.Duration
 }
 
-// drainPeriod is a period in which an upstream announced that it drains; to is 0 while
-// the period lasts.
+// drainPeriod is a period in which an upstream announced that it drains, or had no entry; to
+// is 0 while the period lasts.
 type drainPeriod struct {
 	upstream string
 	from, to time.Duration
@@ -70,9 +70,10 @@
 	kind     string
 	instance int
 	from, to time.Duration
-	// planned tells that the fault is an ordinary operation, such as a graceful stop;
-	// restarts tells that the node runs as a new process afterwards.
-	planned, restarts bool
+	// planned tells that the fault is an ordinary operation, such as a graceful stop,
+	// outage that it concerns the answers of the store, and restarts that the node runs as a
+	// new process afterwards.
+	planned, outage, restarts bool
 }
 
 // newHistory returns an empty history that starts now.
@@ -121,3 +122,19 @@
 	defer h.mu.Unlock()
 	h.faults[i].to = h.now()
 }
+
+// recordDrainStart records that the store has acknowledged that an upstream drains or is gone.
+func (h *history) recordDrainStart(upstream string) {
+	h.update(func() { h.drains = append(h.drains, drainPeriod{upstream: upstream, from: h.now()}) })
+}
+
+// recordDrainEnd records that an upstream is about to announce that it does not drain any more.
+func (h *history) recordDrainEnd(upstream string) {
+	h.update(func() {
+		for i := range h.drains {
+			if d := &h.drains[i]; d.upstream == upstream && d.to == 0 {
+				d.to = h.now()
+			}
+		}
+	})
+}
--- a/harness/faults/proxy.go
+++ b/harness/faults/proxy.go
@@ -18,6 +18,9 @@
 	// stay open.
 	delay                        atomic.Int64
 	dropToTarget, dropFromTarget atomic.Bool
+	// silences counts the calls of silenceConnections. Connections that were opened before
+	// the last one carry no more data.
+	silences atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -77,14 +80,30 @@
 	}
 	p.trackConns(client, server, true)
 	defer p.trackConns(client, server, false)
+	openedAfter := p.silences.Load()
+	silent := func() bool { return p.silences.Load() > openedAfter }
 	done := make(chan struct{}, 2)
-	go func() { p.copyBytes(server, client, &p.dropToTarget); done <- struct{}{} }()
-	go func() { p.copyBytes(client, server, &p.dropFromTarget); done <- struct{}{} }()
+	go func() {
+		p.copyBytes(server, client, func() bool { return silent() || p.dropToTarget.Load() })
+		done <- struct{}{}
+	}()
+	go func() {
+		p.copyBytes(client, server, func() bool { return silent() || p.dropFromTarget.Load() })
+		done <- struct{}{}
+	}()
 	<-done
-	_, _ = client.Close(), server.Close()
+	if !silent() {
+		_ = client.Close()
+	}
+	_ = server.Close()
 	<-done
+	_ = client.Close()
 }
 
+// silenceConnections makes all open connections carry no more data, nor their end. New ones
+// work.
+func (p *proxy) silenceConnections() { p.silences.Add(1) }
+
 // trackConns adds both sides of a forwarded connection to the open connections or
 // removes them.
 func (p *proxy) trackConns(client, server net.Conn, open bool) {
@@ -102,20 +121,20 @@
 // copyBufferBytes is the largest number of bytes forwarded at once.
 const copyBufferBytes = 16 << 10
 
-// copyBytes copies data from one connection to the other and discards it while drop
-// is set. It passes on a half-close.
-func (p *proxy) copyBytes(to, from net.Conn, drop *atomic.Bool) {
+// copyBytes copies data from one connection to the other and discards it while dropped
+// reports true. Otherwise it passes on a half-close.
+func (p *proxy) copyBytes(to, from net.Conn, dropped func() bool) {
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !drop.Load() {
+		if n > 0 && !dropped() {
 			time.Sleep(time.Duration(p.delay.Load()))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
 		}
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+			if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF && !dropped() {
 				_ = tcp.CloseWrite()
 			}
 			return
--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -211,7 +211,7 @@
 	for _, s := range schedule {
 		faults.Go(func() {
 			time.Sleep(time.Until(start.Add(s.startAt)))
-			f := fault{kind: s.kind.name, instance: s.instance, planned: s.kind.planned, restarts: s.kind.restarts}
+			f := fault{kind: s.kind.name, instance: s.instance, planned: s.kind.planned, outage: s.kind.outage, restarts: s.kind.restarts}
 			if s.kind.global {
 				globalFault.Lock()
 				defer globalFault.Unlock()
@@ -301,24 +301,45 @@
 // setDraining publishes that an upstream starts or stops draining and records the drain
 // in the history.
 func (r *runner) setDraining(n *instance, draining bool) {
+	if !draining {
+		r.history.recordDrainEnd(n.upstream.id)
+	}
 	if r.options.Defect != unpublishedDrain {
 		r.registryMu.Lock()
 		n.draining = draining
 		r.registryMu.Unlock()
 		r.registerUpstream(n)
 	}
-	r.history.update(func() {
-		now := r.history.now()
-		if draining {
-			r.history.drains = append(r.history.drains, drainPeriod{upstream: n.upstream.id, from: now})
-			return
+	if draining {
+		r.history.recordDrainStart(n.upstream.id)
+	}
+}
+
+// removeUpstream removes the registry entry of an upstream, which goes on serving. register
+// writes it again.
+func (r *runner) removeUpstream(n *instance) (register func()) {
+	r.registryMu.Lock()
+	r.store.Remove(platform.RegistrationPrefix + n.upstream.id)
+	r.registryMu.Unlock()
+	r.history.recordDrainStart(n.upstream.id)
+	return func() {
+		r.history.recordDrainEnd(n.upstream.id)
+		r.registerUpstream(n)
+	}
+}
+
+// silenceConnections makes all open connections to the store carry no more data and, if peers
+// or upstreams is set, also those between nodes or to upstreams.
+func (r *runner) silenceConnections(peers, upstreams bool) {
+	for _, n := range r.instances {
+		n.storeProxy.silenceConnections()
+		if peers {
+			n.peerProxy.silenceConnections()
 		}
-		for i := range r.history.drains {
-			if d := &r.history.drains[i]; d.upstream == n.upstream.id && d.to == 0 {
-				d.to = now
-			}
+		if upstreams {
+			n.upstreamProxy.silenceConnections()
 		}
-	})
+	}
 }
 
 // recordError records an error of the run itself as a violation.
--- a/harness/faults/scenario.go
+++ b/harness/faults/scenario.go
@@ -26,11 +26,14 @@
 	EndlessScenario Scenario = "endless"
 	// UploadScenario sends large bodies that upstreams read slowly, beside other requests.
 	UploadScenario Scenario = "uploads"
+	// SilenceScenario makes all open connections to the store silent, and in some rounds others
+	// too. A table and an upstream that leaves follow at another time in each round.
+	SilenceScenario Scenario = "silence"
 )
 
 // Scenarios returns all scenarios.
 func Scenarios() []Scenario {
-	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario}
+	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario, SilenceScenario}
 }
 
 const (
@@ -62,6 +65,9 @@
 		return []scheduledFault{{startAt: time.Second, kind: faultKind{name: "uploads", global: true, inject: sendUploads}}}
 	}
 	random := rand.New(rand.NewPCG(o.Seed, 2))
+	if o.Scenario == SilenceScenario {
+		return planSilence(random, o.Nodes)
+	}
 	lifetime := minLifetime + time.Duration(random.Int64N(int64(maxLifetime-minLifetime)))
 	if o.Scenario != RetryScenario {
 		lifetime *= slowdown
--- a/harness/faults/schedule.go
+++ b/harness/faults/schedule.go
@@ -23,6 +23,9 @@
 	// planned faults are ordinary operations, such as a graceful stop, during which
 	// all guarantees hold.
 	planned bool
+	// outage tells that the store does not answer all nodes as it should, which delays what
+	// is in force for longer than faults of nodes and connections do.
+	outage bool
 	// restarts tells that the node runs as a new process afterwards.
 	restarts bool
 	// inject starts the fault and returns the function that ends it.
@@ -89,27 +92,31 @@
 		r.setDraining(n, true)
 		return func() { r.setDraining(n, false) }
 	}},
-	{name: "store_cut", inject: func(_ *runner, n *instance) func() { return n.storeProxy.dropTraffic(true, true) }},
-	{name: "store_refuses", global: true, inject: func(r *runner, _ *instance) func() {
+	{name: "store_cut", outage: true, inject: func(_ *runner, n *instance) func() { return n.storeProxy.dropTraffic(true, true) }},
+	{name: "store_refuses", global: true, outage: true, inject: func(r *runner, _ *instance) func() {
 		r.store.FailWithStatus(503)
 		return r.store.ClearFaults
 	}},
-	{name: "store_silent", global: true, inject: func(r *runner, _ *instance) func() {
+	{name: "store_silent", global: true, outage: true, inject: func(r *runner, _ *instance) func() {
 		r.store.SuspendResponses()
 		return r.store.ClearFaults
 	}},
-	{name: "store_old", global: true, inject: func(r *runner, _ *instance) func() {
+	{name: "store_old", global: true, outage: true, inject: func(r *runner, _ *instance) func() {
 		r.store.FreezeReads()
 		return r.store.ClearFaults
 	}},
-	{name: "store_forgets", global: true, inject: func(r *runner, _ *instance) func() {
+	{name: "store_forgets", global: true, outage: true, inject: func(r *runner, _ *instance) func() {
 		r.store.DropHistory()
 		return func() {}
 	}},
-	{name: "store_restored", global: true, inject: func(r *runner, _ *instance) func() {
+	{name: "store_restored", global: true, outage: true, inject: func(r *runner, _ *instance) func() {
 		r.restoreStore()
 		return r.store.ClearFaults
 	}},
+	{name: "connections_silent", global: true, inject: func(r *runner, _ *instance) func() {
+		r.silenceConnections(true, true)
+		return func() {}
+	}},
 	{name: "watches_cut", global: true, planned: true, inject: func(r *runner, _ *instance) func() {
 		r.store.CutWatches()
 		return func() {}
