Put changes in force within the bound after connections go silent

Cause: each part was given its time by itself, and their sum exceeds the bound. A watch waited 2 s and counted as silent 0.8 s later. A follower then fetched the state on a kept connection, silent as well, for 1 s. A follower that took over used a kept connection to the store, for another 2.8 s, and ignored meanwhile what other nodes knew.

The times stand beside each other in core/mesh/store_health.go, and a node counts as in touch for as long as one watch and its pause can take.

Price: a node that reads the store asks it every 1.2 s instead of 2 s while nothing changes.

--- a/core/mesh/catchup.go
+++ b/core/mesh/catchup.go
@@ -73,9 +73,9 @@
 	return state
 }
 
-// newerTableDelay is how long a node that reads the store waits for a table from there
-// that another node already has.
-const newerTableDelay = 500 * time.Millisecond
+// newerStateDelay is how long a node that reads the store waits for a table or registrations
+// from there that another node already has.
+const newerStateDelay = 500 * time.Millisecond
 
 const (
 	// stateRetryDelay is how long a node does not fetch the state of an instance again after
@@ -111,20 +111,21 @@
 }
 
 // NewerPeer returns the instance whose store state this node should fetch. ok is false if
-// there is none. A node that takes its state from the store itself needs only a newer
-// table: a store that was restored from a copy may lack it.
+// there is none. A node that takes its state from the store itself needs it only if it does not
+// get it from there: its watch may be on a connection that is silent, and a store that was
+// restored from a copy may lack the newest table.
 func (n *Node) NewerPeer(now time.Duration) (instance string, ok bool) {
 	known := n.StoreVersion()
 	instance, newest := n.newestPeer(now, known)
 	if !n.learnsFromPeers() {
-		if newest.Version <= known.Version {
+		if newest.Version <= known.Version && !laterInEra(newest.Position, known.Position) {
 			n.behindSince = 0
 			return "", false
 		}
 		if n.behindSince == 0 {
 			n.behindSince = now
 		}
-		return instance, now >= n.behindSince+newerTableDelay
+		return instance, now >= n.behindSince+newerStateDelay
 	}
 	reader := n.firstPrecedingReader(now)
 	if instance == "" && reader != nil && now >= reader.stateRetryAt && !newest.Position.After(reader.heartbeat.Position()) && reader.heartbeat.RegistryDigest != n.adoptedDigest {
@@ -135,6 +136,11 @@
 	return instance, instance != ""
 }
 
+// laterInEra reports whether position a is after b in the same era. What another node knows at such
+// a position is newer, whether or not it is in touch with the store. In another era the store may
+// have been restored.
+func laterInEra(a, b registry.Position) bool { return a.Era == b.Era && a.After(b) }
+
 // newestPeer returns the live instance with the newest store state after known that may be
 // fetched, and that state's version. It returns known if there is none.
 func (n *Node) newestPeer(now time.Duration, known StoreVersion) (instance string, newest StoreVersion) {
@@ -158,13 +164,13 @@
 
 // ApplyState applies the parts of another node's store state that are newer than this
 // node's and returns the changes. A node that takes its state from the store itself
-// applies only a newer table.
+// applies only a newer table, and registrations of a later position in the same era.
 func (n *Node) ApplyState(now time.Duration, state StoreState) (changes StateChanges) {
 	n.fetchFailingSince = 0
 	if state.Table != nil && n.SetTable(now, state.Table) {
 		changes.Table = state.Table
 	}
-	if !n.learnsFromPeers() {
+	if !n.learnsFromPeers() && !laterInEra(state.Position(), n.registry.Position()) {
 		return changes
 	}
 	order := state.Position().Compare(n.registry.Position())
--- a/core/mesh/drain_test.go
+++ b/core/mesh/drain_test.go
@@ -26,6 +26,8 @@
 	changes []registry.Change
 	// cutAt are the times at which the store ends all watches that wait.
 	cutAt []time.Duration
+	// silentAt is when all connections to the store that were open then went silent for good.
+	silentAt time.Duration
 	// removedAt is when the entry removed was removed, appliedAt when each node applied that.
 	removed   string
 	removedAt time.Duration
@@ -38,8 +40,24 @@
 	watching       bool
 	startedAt      time.Duration
 	nextAt, syncAt time.Duration
+	// connectedAt is when the node opened its connection to the store, 0 if it has none.
+	connectedAt time.Duration
 }
 
+// timeout returns how long the node waits for the answer to its read.
+func (r *simReader) timeout() time.Duration {
+	switch {
+	case r.read.List:
+		return testListTimeout
+	case r.read.Check:
+		return CheckTime
+	}
+	return WatchTime + WatchSlack
+}
+
+// testListTimeout is how long a node waits for a listing.
+const testListTimeout = 1500 * time.Millisecond
+
 func newDrainFleet(t *testing.T, nodes, dataCentres int, seed uint64) *drainFleet {
 	f := &drainFleet{
 		t: t, exchangeFleet: newExchangeFleet(nodes, dataCentres, seed),
@@ -96,14 +114,29 @@
 			n.ResumeReading()
 		}
 		r.read, r.watching, r.startedAt = n.NextRead(), true, f.now
+		if r.connectedAt == 0 {
+			r.connectedAt = f.now
+		}
+	}
+	if f.silentAt > 0 && r.connectedAt <= f.silentAt && f.now >= f.silentAt {
+		f.waitInVain(m, r, now)
+		return
 	}
 	f.continueRead(m, r, now)
 }
 
+// waitInVain ends a read on a silent connection once the node does not wait any more. The node
+// opens another connection for the next one.
+func (f *drainFleet) waitInVain(m *exchangeMember, r *simReader, now time.Duration) {
+	if f.now >= r.startedAt+r.timeout() {
+		r.watching, r.connectedAt, r.nextAt = false, 0, now+m.node.ReadFailed().Pause
+	}
+}
+
 // continueRead ends a read that is answered or cut.
 func (f *drainFleet) continueRead(m *exchangeMember, r *simReader, now time.Duration) {
 	after := r.read.After.Revision
-	waits := !r.read.List && !r.read.Check && uint64(len(f.changes)) <= after && f.now < r.startedAt+2*time.Second
+	waits := !r.read.List && !r.read.Check && uint64(len(f.changes)) <= after && f.now < r.startedAt+WatchTime
 	if waits && slices.ContainsFunc(f.cutAt, func(at time.Duration) bool { return at > f.now-ExchangeInterval && at <= f.now && at > r.startedAt }) {
 		r.watching = false
 		r.nextAt = now + m.node.ReadFailed().Pause
@@ -124,7 +157,7 @@
 		f.t.Fatal(err)
 	}
 	if !r.read.List && len(changes.Upstreams) > 0 {
-		r.nextAt = now + 75*time.Millisecond + time.Duration(f.random.Int64N(int64(150*time.Millisecond)))
+		r.nextAt = now + BatchDelay/2 + time.Duration(f.random.Int64N(int64(BatchDelay)))
 	}
 }
 
@@ -186,6 +219,50 @@
 	}
 }
 
+// silenceBound is how long after connections went silent a change must be in force that the store
+// acknowledged drainBound before.
+const silenceBound = 3 * time.Second
+
+// TestRemovalIsInForceAfterConnectionsGoSilent guards against requests to an upstream that left,
+// or by an earlier table, because a node noticed too late that its watch was on a connection
+// which had gone silent for good.
+func TestRemovalIsInForceAfterConnectionsGoSilent(t *testing.T) {
+	sizes := [][2]int{{1, 1}, {7, 1}, {12, 3}}
+	if !testing.Short() {
+		sizes = append(sizes, [2]int{84, 6})
+	}
+	for _, size := range sizes {
+		for seed := range uint64(2) {
+			for moment := 50 * time.Millisecond; moment < silenceBound; moment += 400 * time.Millisecond {
+				troubles := []string{"none", "reader killed", "reader frozen", "data centre cut off"}
+				switch {
+				case size[0] == 1:
+					troubles = troubles[:1]
+				case size[0] > 12 && moment != 850*time.Millisecond:
+					continue
+				}
+				for _, trouble := range troubles {
+					f := newDrainFleet(t, size[0], size[1], seed)
+					f.run(6*time.Second+time.Duration(f.random.Int64N(int64(2*WatchTime))), f.step)
+					f.silentAt = f.now
+					f.disturb(trouble)
+					f.run(moment, f.step)
+					f.remove()
+					due := max(f.removedAt+drainBound, f.silentAt+silenceBound)
+					f.run(due+2*time.Second-f.now, f.step)
+					for _, m := range f.members {
+						applied, ok := f.appliedAt[m]
+						if m.running() && (!ok || applied > due) {
+							t.Errorf("%d nodes, seed %d, removal %v after the silence, %s: %s applied it %v after the acknowledgement, %v after the silence",
+								size[0], seed, moment, trouble, m.ip, applied-f.removedAt, applied-f.silentAt)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
 // disturb stops a node that reads the store, or cuts the last data centre off from the others.
 func (f *drainFleet) disturb(trouble string) {
 	last := f.members[len(f.members)-1]
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -14,8 +14,8 @@
 	// With two readers the loss of one goes unnoticed.
 	readersPerDataCentre = 2
 	// storeTimeout is how long after an answer of the store a node counts as in touch
-	// with it: the duration of one watch request and a margin.
-	storeTimeout = 3 * time.Second
+	// with it: the longest time of one watch and the pause before it, and a margin.
+	storeTimeout = WatchTime + WatchSlack + 2*BatchDelay
 )
 
 // StoreAnswered records that the store answered this node.
--- a/core/mesh/readers_test.go
+++ b/core/mesh/readers_test.go
@@ -199,8 +199,45 @@
 			n.SetTable(f.now, newer)
 		}
 	}
-	f.advance(int(newerTableDelay/HeartbeatInterval) + 2)
+	f.advance(int(newerStateDelay/HeartbeatInterval) + 2)
 	if got := reader.Table().Version; got != newer.Version || !reader.readsStore(f.now) {
 		t.Errorf("reader has version %d, reads the store %v; want version %d, true", got, reader.readsStore(f.now), newer.Version)
 	}
 }
+
+// TestReaderTakesNewerRegistrationsOfPeer guards against a node whose watch is on a silent
+// connection and that goes on with upstreams which, as other nodes know, have left.
+func TestReaderTakesNewerRegistrationsOfPeer(t *testing.T) {
+	f := newReaderFleet(t)
+	f.advance(5)
+	reader, id := f.readers()[0], f.nodes[0].Registry().ServiceUpstreams("b")[0].ID
+	other := f.nodes[0]
+	if other == reader {
+		other = f.nodes[1]
+	}
+	known := reader.StoreVersion()
+	other.Registry().Apply(f.now, []registry.Change{{ID: id, Revision: known.Position.Revision + 1, Removed: true}})
+	other.RegistryChanged()
+	f.now += HeartbeatInterval
+	reader.ReceiveHeartbeat(f.now, other.cfg.Instance, other.Heartbeat(f.now))
+	if _, ok := reader.NewerPeer(f.now); ok {
+		t.Error("a node that reads the store does not wait for its own answer")
+	}
+	f.now += newerStateDelay
+	reader.ReceiveHeartbeat(f.now, other.cfg.Instance, other.Heartbeat(f.now))
+	instance, ok := reader.NewerPeer(f.now)
+	if !ok || instance != other.cfg.Instance {
+		t.Fatalf("state is fetched from %q, want %s", instance, other.cfg.Instance)
+	}
+	state := other.StateSince(f.now, known)
+	restored := state
+	restored.Era++
+	reader.ApplyState(f.now, restored)
+	if reader.Registry().Get(id) == nil {
+		t.Error("the state of another era is applied while the store answers")
+	}
+	reader.ApplyState(f.now, state)
+	if reader.Registry().Get(id) != nil {
+		t.Error("an upstream is used that another node knows to be gone")
+	}
+}
--- a/core/mesh/store_health.go
+++ b/core/mesh/store_health.go
@@ -6,6 +6,17 @@
 )
 
 const (
+	// WatchTime is how long the store holds a watch open while there are no changes. If the answer
+	// is more than WatchSlack later, the connection counts as silent. A change that the store
+	// acknowledges just after a connection went silent is known to no node before.
+	WatchTime  = 1200 * time.Millisecond
+	WatchSlack = 600 * time.Millisecond
+	// CheckTime is how long the store may take to answer a check, which does not wait for changes.
+	// A store that answers takes milliseconds.
+	CheckTime = 500 * time.Millisecond
+	// BatchDelay is the mean pause after a watch that returned changes, so that the next one
+	// returns further changes together. Reads of the store are costly.
+	BatchDelay = 150 * time.Millisecond
 	// minReadPause and maxReadPause limit the mean pause after a failed read while the store is
 	// lost. The pause doubles from one to the next.
 	minReadPause = 100 * time.Millisecond
--- a/node/sidecar/state_sync.go
+++ b/node/sidecar/state_sync.go
@@ -99,7 +99,8 @@
 // fetchState requests the state that the node at instance has beyond known; see decodeState.
 func (s *Sidecar) fetchState(instance string, known mesh.StoreVersion) (state mesh.StoreState, invalid []error, err error) {
 	p := s.peerPool(instance)
-	conn, err := p.Get(dialTimeout)
+	// An idle connection may have gone silent, and a change must not wait until that shows.
+	conn, err := p.Dial(dialTimeout)
 	if err != nil {
 		return state, nil, err
 	}
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -11,23 +11,8 @@
 	"github.com/shallotspool/shallotspool/core/store"
 )
 
-const (
-	// watchTimeout is how long the store holds a watch open while there are no changes.
-	// If the response is more than watchResponseSlack late, the connection counts as
-	// dead. The sum of both is below the 3 s within which a node must detect a silent
-	// store.
-	watchTimeout       = 2 * time.Second
-	watchResponseSlack = 800 * time.Millisecond
-	// batchDelay is the mean pause after a watch that returned changes, so that the next
-	// one returns further changes together. Reads of the store are costly, and no change has
-	// to take effect in less than two seconds.
-	batchDelay = 150 * time.Millisecond
-	// readPause is the mean pause after an answer of the store that cannot be used.
-	readPause = 100 * time.Millisecond
-	// checkTimeout is how long the store may take to answer a check, which does not wait for
-	// changes. A store that answers takes milliseconds.
-	checkTimeout = 500 * time.Millisecond
-)
+// readPause is the mean pause after an answer of the store that cannot be used.
+const readPause = 100 * time.Millisecond
 
 // followPollInterval is the mean time between two checks of a node that does not read
 // the store whether enough other nodes still do.
@@ -99,9 +84,9 @@
 	if read.List {
 		changes, err = r.sidecar.store.List()
 	} else if read.Check {
-		changes, err = r.sidecar.store.Watch(read.After.Revision, 0, checkTimeout)
+		changes, err = r.sidecar.store.Watch(read.After.Revision, 0, mesh.CheckTime)
 	} else {
-		changes, err = r.sidecar.store.Watch(read.After.Revision, watchTimeout, watchResponseSlack)
+		changes, err = r.sidecar.store.Watch(read.After.Revision, mesh.WatchTime, mesh.WatchSlack)
 	}
 	if err == nil {
 		err = r.sidecar.applyChanges(read, changes, !r.available)
@@ -109,7 +94,7 @@
 	switch {
 	case err == nil:
 		if !read.List && changes.Position().After(r.position) {
-			r.sidecar.sleepWithJitter(batchDelay)
+			r.sidecar.sleepWithJitter(mesh.BatchDelay)
 		}
 		r.available, r.position = true, changes.Position()
 	case errors.Is(err, mesh.ErrStoreRestored):
