Log a change once if another node told it before the store

A node that reads the store takes newer registrations from another node since the commit before; the store then reports the same changes again and they were logged again, though nothing changed. TestUnstampedResponseIsNotDelivered counts these lines to know that all nodes know all upstreams, and failed in 2 of 14 processes run at once (reason=no_upstream); 0 of 14 with this change.

--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -163,6 +163,7 @@
 // the store responds again after an outage. Its error is mesh.ErrStoreRestored.
 func (s *Sidecar) applyChanges(read mesh.StoreRead, changes store.Changes, recovered bool) error {
 	s.mu.Lock()
+	known := s.node.StoreVersion().Position
 	inForce, err := s.node.ApplyRead(s.now(), read, changes)
 	s.mu.Unlock()
 	if err != nil {
@@ -180,7 +181,10 @@
 		s.log.Warn("invalid value in store", field("key", invalid.Key), field("revision", invalid.Revision), field("error", invalid.Err))
 	}
 	for _, change := range changes.Upstreams {
-		s.logUpstream(change, sourceStore)
+		learned := registry.Position{Era: change.Era, Revision: change.Revision}
+		if read.List || learned.After(known) {
+			s.logUpstream(change, sourceStore)
+		}
 	}
 	return nil
 }
