Let a stopping node take only what it can finish

In a planned stop of one node in calm, callers that send requests without waiting for the answers before them had 18 of about 117 requests run and cut without an answer, also ones that must not be repeated; connections were closed while the body of a request was being sent.

Causes, one class: a stopping node went on taking work whose end it could not await. - A connection closes after its last open response, and a pipelining caller never lets that come. Whether a request is handled and whether a response closes are now decided under one lock. - A connection that is closed with unread requests is reset, which may cost the last responses. Half of the time that remains is for starts, by one rule for all, and less for routes that take long; calls made for requests that run at the own upstream go on, and the listener stays open for them. Later ones are refused as not run. What is sent meanwhile gets a deadline before the end, so that what then runs or waits elsewhere is answered. - A body that ends late is taken, or refused with 503 when the time for starts is over.

TestLeavingOrSilentNodeGetsNoWork gives Leave its time; a message of TestUnstampedResponseIsNotDelivered prints the logs.

--- a/core/concurrency/limiter.go
+++ b/core/concurrency/limiter.go
@@ -22,6 +22,8 @@
 	// time that the request is expected to run for.
 	Deadline        time.Duration
 	ExpectedRunTime time.Duration
+	// LongestRunTime is the time that it may take; see Closing.
+	LongestRunTime time.Duration
 
 	heapIndex int
 }
@@ -48,6 +50,8 @@
 	queue   queue
 	waiting map[uint64]*Request
 	rate    rateLimit
+	// closing bounds the time in which requests start and end, nil if it is not bounded.
+	closing *Closing
 }
 
 // New returns a limiter with a limit of 0.
@@ -68,7 +72,7 @@
 // Offer decides on a new request. It keeps nothing of a refused one. A queued one is
 // returned later by NextDecision or RemoveExpired, unless it is withdrawn.
 func (l *Limiter) Offer(now time.Duration, req Request) Decision {
-	if req.Deadline-now < req.ExpectedRunTime {
+	if req.missesDeadline(now) || l.closesBefore(now, &req) {
 		return Refuse
 	}
 	if len(l.running) < l.limit && l.queue.Len() == 0 && l.rate.allows(now) {
@@ -91,7 +95,7 @@
 		return 0, 0, false
 	}
 	first := l.queue[0]
-	late := first.missesDeadline(now)
+	late := first.missesDeadline(now) || l.closesBefore(now, first)
 	if !late && (len(l.running) >= l.limit || !l.rate.allows(now)) {
 		return 0, 0, false
 	}
@@ -110,11 +114,11 @@
 }
 
 // RemoveExpired removes and returns the waiting requests that cannot meet their
-// deadline any more, in the order of their identifiers.
+// deadline any more or would end too late, in the order of their identifiers.
 func (l *Limiter) RemoveExpired(now time.Duration) []uint64 {
 	var expired []uint64
 	for id, req := range l.waiting {
-		if req.missesDeadline(now) {
+		if req.missesDeadline(now) || l.closesBefore(now, req) {
 			expired = append(expired, id)
 		}
 	}
--- a/core/concurrency/limiter_test.go
+++ b/core/concurrency/limiter_test.go
@@ -101,3 +101,42 @@
 		}
 	})
 }
+
+// TestClosingRefusesWhatCannotEnd guards against requests that start, or go on waiting, at an upstream
+// that gets no more, or at a node that stops before they end.
+func TestClosingRefusesWhatCannotEnd(t *testing.T) {
+	l := concurrency.New()
+	l.SetLimit(1)
+	offer := func(now time.Duration, id uint64, longest time.Duration) concurrency.Decision {
+		return l.Offer(now, concurrency.Request{ID: id, Deadline: time.Hour, LongestRunTime: longest})
+	}
+	if d := offer(0, 1, second); d != concurrency.Admit {
+		t.Fatalf("got decision %v for the first request, want Admit", d)
+	}
+	if d := offer(0, 2, second); d != concurrency.Enqueue {
+		t.Fatalf("got decision %v for the second request, want Enqueue", d)
+	}
+	offer(0, 3, 4*second)
+	l.SetClosing(&concurrency.Closing{LastStart: 3 * second, End: 5 * second})
+	if got := l.RemoveExpired(2 * second); len(got) != 1 || got[0] != 3 {
+		t.Errorf("%v do not wait any more, want the one that may take too long", got)
+	}
+	if d := offer(2*second, 4, 4*second); d != concurrency.Refuse {
+		t.Errorf("got decision %v for a request that may end too late, want Refuse", d)
+	}
+	l.Done(1)
+	if id, d, ok := l.NextDecision(2 * second); !ok || id != 2 || d != concurrency.Admit {
+		t.Errorf("got request %d, decision %v, %v; want request 2 admitted", id, d, ok)
+	}
+	if d := offer(2*second, 5, second); d != concurrency.Enqueue || l.Closed(2*second) {
+		t.Errorf("got decision %v before the last start, want Enqueue", d)
+	}
+	l.Done(2)
+	if id, d, ok := l.NextDecision(3 * second); !ok || id != 5 || d != concurrency.Refuse || !l.Closed(3*second) {
+		t.Errorf("got request %d, decision %v, %v after the last start; want request 5 refused", id, d, ok)
+	}
+	l.SetClosing(nil)
+	if d := offer(4*second, 6, 4*second); d != concurrency.Admit {
+		t.Errorf("got decision %v after the closing ended, want Admit", d)
+	}
+}
--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -95,7 +95,7 @@
 	if o.Reason == ReasonBusy {
 		c.busyNodes++
 	}
-	maySend := len(c.tried) < maxSends && now < c.Deadline && c.busyNodes < 2 && o.Reason != ReasonDeadline
+	maySend := len(c.tried) < maxSends && now < c.Deadline && c.busyNodes < 2 && o.Reason != ReasonDeadline && n.mayFinish(now, c)
 	if maySend && (!o.ReachedUpstream || n.claimRetry(now, c)) {
 		if s := n.sendNext(now, c); s.Kind == StepSend {
 			return s
@@ -107,7 +107,7 @@
 // claimRetry reports whether c may be sent to another upstream and, if so, charges the
 // retry to the budget.
 func (n *Node) claimRetry(now time.Duration, c *Call) bool {
-	if c.reachedUpstreams >= c.Route.MaxAttempts || len(c.tried) >= maxSends || c.Deadline-now < n.minTimeLeft(c) {
+	if c.reachedUpstreams >= c.Route.MaxAttempts || len(c.tried) >= maxSends || c.Deadline-now < n.minTimeLeft(c) || !n.mayFinish(now, c) {
 		return false
 	}
 	if !n.chargeRetry(now, c) {
--- a/core/mesh/crash_test.go
+++ b/core/mesh/crash_test.go
@@ -69,7 +69,7 @@
 func TestLeavingOrSilentNodeGetsNoWork(t *testing.T) {
 	nodes := newFleet(t, testRoute("a", true))
 	exchangeHeartbeats(0, nodes)
-	nodes[0].Leave()
+	nodes[0].Leave(0, time.Minute)
 	exchangeHeartbeats(time.Millisecond, nodes)
 	countByInstance := func(now time.Duration) map[string]int {
 		sent := map[string]int{}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -64,7 +64,7 @@
 	// watchFrom, so that its next read is a watch from there and not a listing.
 	storeListed bool
 	watchFrom   registry.Position
-	// behindSince is when this node, while it reads the store, learned of a newer table at
+	// behindSince is when this node, while it reads the store, learned of newer state at
 	// another node; 0 if it has the newest.
 	behindSince time.Duration
 	// fetchFailingSince is when fetching the state of other nodes began to fail, 0 if the last
@@ -83,6 +83,8 @@
 	// requests were refused admission.
 	nearCapacity bool
 	leaving      bool
+	// stop bounds the requests that start while this node is about to stop, nil before.
+	stop *concurrency.Closing
 	// wasUrgent is set if heartbeats were urgent at the last call of DueHeartbeats, and
 	// planStale if relays told news for which the plan should not wait.
 	wasUrgent, planStale bool
@@ -166,9 +168,6 @@
 	return newest
 }
 
-// Leave marks the node as about to stop.
-func (n *Node) Leave() { n.leaving, n.wasUrgent = true, false }
-
 // Ready reports whether the node can serve callers.
 func (n *Node) Ready() bool { return n.table != nil && n.registry.Len() > 0 && !n.leaving }
 
--- a/core/mesh/start.go
+++ b/core/mesh/start.go
@@ -47,6 +47,10 @@
 		c.onTrial = true
 	}
 	c.Service = n.splitter.ChooseService(matched)
+	if !n.mayFinish(now, c) {
+		return c, c.recordIfFinal(n.refuse(c, ReasonLeaving), false)
+	}
+	c.Deadline = n.CapDeadline(c.Deadline)
 	c.CallerRetry = !c.FromUpstream && n.refusals.take(now, request)
 	if !n.admit(c) {
 		n.refusals.add(now, request)
--- a/core/mesh/work.go
+++ b/core/mesh/work.go
@@ -35,7 +35,7 @@
 	n.trackWork(now, w)
 	d := n.limiter.Offer(now, concurrency.Request{
 		ID: w.ID, Priority: w.Rank.Priority, EnteredAt: now - w.Rank.Age,
-		Deadline: w.Deadline, ExpectedRunTime: n.ownMinTimeLeft(w.Route),
+		Deadline: w.Deadline, ExpectedRunTime: n.ownMinTimeLeft(w.Route), LongestRunTime: longestTime(n.runTimes.mean(w.Route)),
 	})
 	if d == concurrency.Admit {
 		n.WorkStarted(now, w)
@@ -68,8 +68,10 @@
 }
 
 // ExpireWork removes and returns the queued requests that can no longer be answered in
-// time.
-func (n *Node) ExpireWork(now time.Duration) []uint64 { return n.limiter.RemoveExpired(now) }
+// time, or that must not start any more.
+func (n *Node) ExpireWork(now time.Duration) []uint64 {
+	return n.limiter.RemoveExpired(now)
+}
 
 // WorkDone records the end of a run at the local upstream. took is its run time.
 func (n *Node) WorkDone(now time.Duration, w Work, took time.Duration, result RunResult) {
--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -81,6 +81,9 @@
 		nodeAddress: n.address(p.callers), workTime: upstreamWorkTime, defect: o.Defect,
 		outlivedByListener: o.Scenario == ListenerScenario, streamsBodies: o.Scenario == UploadScenario,
 	}
+	if o.Scenario == StopScenario {
+		n.upstream.workTime = stopWorkTime
+	}
 	ratio := retryRatio
 	if o.Defect == unlimitedRetries {
 		ratio = 100
--- a/harness/faults/scenario.go
+++ b/harness/faults/scenario.go
@@ -29,11 +29,14 @@
 	// SilenceScenario makes all open connections to the store silent, and in some rounds others
 	// too. A table and an upstream that leaves follow at another time in each round.
 	SilenceScenario Scenario = "silence"
+	// StopScenario stops nodes in series, as planned work, beside callers that send requests
+	// without waiting for the answers before, and some whose bodies end late.
+	StopScenario Scenario = "stops"
 )
 
 // Scenarios returns all scenarios.
 func Scenarios() []Scenario {
-	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario, SilenceScenario}
+	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario, SilenceScenario, StopScenario}
 }
 
 const (
@@ -68,6 +71,9 @@
 	if o.Scenario == SilenceScenario {
 		return planSilence(random, o.Nodes)
 	}
+	if o.Scenario == StopScenario {
+		return planStops(random, o.Nodes)
+	}
 	lifetime := minLifetime + time.Duration(random.Int64N(int64(maxLifetime-minLifetime)))
 	if o.Scenario != RetryScenario {
 		lifetime *= slowdown
--- a/node/internal/listener/body.go
+++ b/node/internal/listener/body.go
@@ -105,7 +105,7 @@
 	return &requestError{status: fasthttp.StatusBadRequest, bodyUnread: true}
 }
 
-// linger passes over the rest of a body. A connection that is closed with unread bytes is reset,
+// linger passes over the rest of a body, or requests that are not read. A connection that is closed with unread bytes is reset,
 // and the caller may then lose the response.
 func (c *conn) linger() {
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -27,14 +27,23 @@
 	// written next. The reader blocks while it is full.
 	pipeline chan *Exchange
 
-	// lingers is set if the caller may still be sending a body that is not read.
-	lingers bool
+	// lingers is set if the caller may still be sending what is not read, and closesDrained if
+	// the last response closes the connection because the listener drains, so that the caller may
+	// have sent further requests behind it.
+	lingers, closesDrained bool
 
 	mu sync.Mutex
 	// openRequests counts the requests that have been read but not answered.
 	openRequests int
 	// closing makes the reader return instead of reading another request.
 	closing bool
+	// waiting is set while the reader waits for the first byte of a request, and reading while
+	// it reads one.
+	waiting, reading bool
+	// lastRead is set once no request is read behind the open ones, because the listener drains.
+	lastRead bool
+	// giveUp is set once a request that is being read is to be refused.
+	giveUp bool
 }
 
 func newConn(l *Listener, raw net.Conn) *conn {
@@ -59,7 +68,7 @@
 	close(c.pipeline)
 	<-written
 	c.cancel()
-	if c.lingers {
+	if c.lingers || c.closesDrained {
 		c.linger()
 	}
 	_ = c.raw.Close()
@@ -72,44 +81,64 @@
 	for {
 		x := &Exchange{RemoteIP: c.remote, done: make(chan struct{})}
 		err := c.readRequest(x)
-		if err != nil && c.isClosing() {
+		var invalid *requestError
+		switch {
+		case errors.Is(err, errDrained):
+			c.lingers = true
+			c.watchDisconnect()
 			return
-		}
-		if err == nil {
-			x.ReceivedAt = time.Now()
-			x.callerCloses, x.isHead = x.Request.Header.ConnectionClose(), x.Request.Header.IsHead()
-			c.addOpenRequest()
-			c.pipeline <- x
-			c.l.cfg.Go(func() {
-				defer close(x.done)
-				c.l.cfg.Handler(c.ctx, x)
-			})
-			if x.callerCloses {
-				c.watchDisconnect()
+		case err == nil:
+			if !c.handle(x) {
 				return
 			}
-			if c.isClosing() {
-				return
-			}
-			continue
-		}
-		var invalid *requestError
-		if errors.As(err, &invalid) {
-			c.addOpenRequest()
-			c.lingers = invalid.bodyUnread
-			if invalid.status == fasthttp.StatusServiceUnavailable {
-				c.l.cfg.Refuse(x)
-			} else {
-				x.Response.SetStatusCode(invalid.status)
+		case errors.As(err, &invalid):
+			c.reject(x, invalid)
+			return
+		default:
+			if !c.isClosing() {
+				c.cancel()
 			}
-			x.Response.SetConnectionClose()
-			close(x.done)
-			c.pipeline <- x
 			return
 		}
-		c.cancel()
+	}
+}
+
+// handle starts the handler of a request that was read, unless the connection closes before its
+// response could be written. It reports whether further requests are to be read.
+func (c *conn) handle(x *Exchange) (more bool) {
+	x.ReceivedAt = time.Now()
+	x.callerCloses, x.isHead = x.Request.Header.ConnectionClose(), x.Request.Header.IsHead()
+	if !c.addOpenRequest() {
+		x.finish()
+		return false
+	}
+	c.pipeline <- x
+	c.l.cfg.Go(func() {
+		defer close(x.done)
+		c.l.cfg.Handler(c.ctx, x)
+	})
+	if x.callerCloses {
+		c.watchDisconnect()
+		return false
+	}
+	return true
+}
+
+// reject responds to a request that is invalid, or that is not read whole.
+func (c *conn) reject(x *Exchange, invalid *requestError) {
+	if !c.addOpenRequest() {
+		x.finish()
 		return
 	}
+	c.lingers = invalid.bodyUnread
+	if invalid.status == fasthttp.StatusServiceUnavailable {
+		c.l.cfg.Refuse(x)
+	} else {
+		x.Response.SetStatusCode(invalid.status)
+	}
+	x.Response.SetConnectionClose()
+	close(x.done)
+	c.pipeline <- x
 }
 
 // watchDisconnect cancels the handlers if the caller disconnects after its last
@@ -138,10 +167,10 @@
 // *requestError if the request gets a response with an error status.
 func (c *conn) readRequest(x *Exchange) error {
 	limits := c.l.limits()
-	c.setIdleDeadline(limits)
-	if _, err := c.in.Peek(1); err != nil {
+	if err := c.waitForRequest(limits); err != nil {
 		return err
 	}
+	defer c.endReading()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	h := &x.Request.Header
 	if err := h.Read(c.in); err != nil {
@@ -151,7 +180,11 @@
 	if limits.MaxHeaderBytes > 0 && len(h.Header()) > limits.MaxHeaderBytes {
 		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge}
 	}
-	return c.readBody(x, limits.MaxBodyBytes)
+	err := c.readBody(x, limits.MaxBodyBytes)
+	if err != nil && c.givesUp() {
+		return &requestError{status: fasthttp.StatusServiceUnavailable, bodyUnread: true}
+	}
+	return err
 }
 
 // bodyTimeout is how long a caller may take to send a body. It equals the timeout
@@ -177,16 +210,68 @@
 	return &requestError{status: fasthttp.StatusBadRequest}
 }
 
-// setIdleDeadline limits the wait for the next request to the idle timeout, or
-// removes the limit while a request is open.
-func (c *conn) setIdleDeadline(limits Limits) {
+// waitForRequest waits for the first byte of a request, for up to the idle timeout or, while a
+// request is open, without limit. It returns errDrained if none is to be read.
+func (c *conn) waitForRequest(limits Limits) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	if c.openRequests > 0 && c.l.draining.Load() {
+		c.lastRead = true
+		c.mu.Unlock()
+		return errDrained
+	}
+	c.waiting = true
 	if c.openRequests > 0 {
 		c.setReadDeadlineLocked(time.Time{})
-		return
+	} else {
+		c.setReadDeadlineLocked(time.Now().Add(limits.IdleTimeout))
+	}
+	c.mu.Unlock()
+	_, err := c.in.Peek(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.reading = false, err == nil
+	if c.lastRead {
+		c.reading = false
+		return errDrained
+	}
+	return err
+}
+
+// errDrained means that no request is read any more, because the listener drains and others are
+// open on the connection.
+var errDrained = errors.New("listener drains")
+
+// endReading records that the reader has read a request or failed to.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	c.reading = false
+	c.mu.Unlock()
+}
+
+// drain makes the reader read no further request if it waits for one while others are open.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.openRequests > 0 && c.waiting && !c.closing {
+		c.lastRead = true
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 	}
-	c.setReadDeadlineLocked(time.Now().Add(limits.IdleTimeout))
+}
+
+// refuseUnread makes the reader refuse the request that it reads, if it reads one.
+func (c *conn) refuseUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading && !c.closing {
+		c.giveUp = true
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (c *conn) givesUp() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.giveUp
 }
 
 // setReadDeadline sets the read deadline; the zero time removes it.
@@ -196,19 +281,24 @@
 	c.setReadDeadlineLocked(t)
 }
 
-// setReadDeadlineLocked sets the read deadline, unless stopReadingLocked has set
-// one in the past. The caller must hold the mutex.
+// setReadDeadlineLocked sets the read deadline, unless stopReadingLocked or refuseUnread has
+// set one in the past. The caller must hold the mutex.
 func (c *conn) setReadDeadlineLocked(t time.Time) {
-	if !c.closing {
+	if !c.closing && !c.giveUp {
 		_ = c.raw.SetReadDeadline(t)
 	}
 }
 
-// addOpenRequest counts a request as open.
-func (c *conn) addOpenRequest() {
+// addOpenRequest counts a request as open. It reports false if the connection closes before a
+// response to it could be written.
+func (c *conn) addOpenRequest() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
 	c.openRequests++
-	c.mu.Unlock()
+	return true
 }
 
 // removeOpenRequest counts a request as no longer open and starts the idle
@@ -218,16 +308,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.openRequests--
-	if c.openRequests == 0 {
+	if c.openRequests == 0 && !c.reading {
 		c.setReadDeadlineLocked(time.Now().Add(idle))
 	}
 }
 
-// closeIfIdle ends the connection if no request is open.
+// closeIfIdle ends the connection if no request is open or being read.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.openRequests == 0 && !c.closing {
+	if c.openRequests == 0 && !c.reading && !c.closing {
 		c.stopReadingLocked()
 	}
 }
@@ -245,7 +335,7 @@
 	return c.closing
 }
 
-// stopIfDrained stops the reader if the listener drains and no request is open but
+// stopIfDrained stops the reader if the listener drains and no request is open or being read but
 // the one whose response is about to be written. It reports whether this is the
 // case; the connection then closes after that response.
 func (c *conn) stopIfDrained() bool {
@@ -254,10 +344,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.openRequests == 1 && !c.closing {
+	if c.openRequests == 1 && !c.reading && !c.closing {
 		c.stopReadingLocked()
 	}
-	return c.openRequests == 1 && c.closing
+	return c.openRequests == 1 && (c.closing || c.lastRead)
 }
 
 // writeResponses writes the responses in the order of their requests, each once
@@ -273,7 +363,8 @@
 			c.removeOpenRequest()
 			continue
 		}
-		if x.callerCloses || c.stopIfDrained() {
+		c.closesDrained = c.stopIfDrained()
+		if x.callerCloses || c.closesDrained {
 			x.Response.SetConnectionClose()
 		}
 		x.Response.SkipBody = x.isHead
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -104,8 +104,8 @@
 	// BodyTerms returns how the body of a request may be read. Only the header of the request
 	// is known then. It may be nil.
 	BodyTerms func(x *Exchange) BodyTerms
-	// Refuse fills in the response to a request whose body finds no memory. It must be set if
-	// BodyTerms is.
+	// Refuse fills in the response to a request whose body finds no memory, or that is not read
+	// because of RefuseUnread. It must be set if BodyTerms is.
 	Refuse func(x *Exchange)
 	// Go runs a function in a new goroutine.
 	Go func(func())
@@ -184,11 +184,29 @@
 	l.mu.Unlock()
 }
 
-// Drain makes every connection close after its last pending response. It does
-// not close idle connections; CloseIdle does.
-func (l *Listener) Drain() { l.draining.Store(true) }
+// Drain makes every connection close after the responses to the requests that have been read, or
+// are being read, at that time. A connection without such requests takes one more and closes
+// after it. Drain does not close idle connections; CloseIdle does.
+func (l *Listener) Drain() {
+	l.draining.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.drain()
+	}
+}
+
+// RefuseUnread makes the requests that are being read now end with the response of Config.Refuse,
+// which must be set.
+func (l *Listener) RefuseUnread() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.refuseUnread()
+	}
+}
 
-// CloseIdle closes the connections that have no open request.
+// CloseIdle closes the connections that have no open request and do not send one.
 func (l *Listener) CloseIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/internal/listener/listener_test.go
+++ b/node/internal/listener/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -194,3 +195,118 @@
 		t.Errorf("got error %v, want the listener closed", err)
 	}
 }
+
+// startDraining serves a handler that waits until release is closed, and counts the requests that
+// it gets in handled.
+func startDraining(t *testing.T) (l *listener.Listener, address string, release chan struct{}, handled *atomic.Int64) {
+	release, handled = make(chan struct{}), &atomic.Int64{}
+	l = listener.New(listener.Config{
+		Limits: func() listener.Limits { return listener.Limits{} }, MaxConnections: 16, Go: func(f func()) { go f() },
+		Handler: func(_ context.Context, x *listener.Exchange) {
+			handled.Add(1)
+			<-release
+			x.Response.SetBody(x.Request.Body())
+		},
+		Refuse: func(x *listener.Exchange) { x.Response.SetStatusCode(503) },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = l.Serve(ln) }()
+	t.Cleanup(l.Close)
+	return l, ln.Addr().String(), release, handled
+}
+
+func eventually(t *testing.T, event string, occurred func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !occurred(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting for: %s", event)
+		}
+	}
+}
+
+const post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"
+
+// TestDrainReadsNoRequestBehindOpenOnes guards against a caller that pipelines requests and keeps a
+// stopping node busy until its process ends, so that requests which run are cut.
+func TestDrainReadsNoRequestBehindOpenOnes(t *testing.T) {
+	l, address, release, handled := startDraining(t)
+	conn, in := dial(t, address)
+	send(t, conn, post+"a"+post+"b")
+	eventually(t, "two requests are handled", func() bool { return handled.Load() == 2 })
+	l.Drain()
+	for range 20 {
+		send(t, conn, post+"c")
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	for _, want := range []string{"a", "b"} {
+		if status, body, closes := receive(t, in); status != 200 || body != want || closes != (want == "b") {
+			t.Fatalf("got status %d, body %q, closes %v; want 200, %q, %v", status, body, closes, want, want == "b")
+		}
+	}
+	expectEOF(t, in)
+	if got := handled.Load(); got != 2 {
+		t.Errorf("%d requests were handled, want the 2 that were answered", got)
+	}
+}
+
+// TestDrainHandlesOnlyWhatIsAnswered guards against a request that is handled though the response
+// before it closes the connection.
+func TestDrainHandlesOnlyWhatIsAnswered(t *testing.T) {
+	for range 200 {
+		l, address, release, handled := startDraining(t)
+		close(release)
+		conn, in := dial(t, address)
+		go func() {
+			for {
+				if _, err := io.WriteString(conn, post+"a"); err != nil {
+					return
+				}
+			}
+		}()
+		eventually(t, "requests are handled", func() bool { return handled.Load() > 3 })
+		l.Drain()
+		answered := int64(0)
+		for resp := (&fasthttp.Response{}); resp.Read(in) == nil; answered++ {
+		}
+		if got := handled.Load(); got != answered {
+			t.Fatalf("%d requests were handled and %d answered", got, answered)
+		}
+		_ = conn.Close()
+	}
+}
+
+// TestDrainTakesBodyThatEndsLate guards against a connection that is closed while the body of its
+// request is being sent.
+func TestDrainTakesBodyThatEndsLate(t *testing.T) {
+	l, address, release, _ := startDraining(t)
+	close(release)
+	conn, in := dial(t, address)
+	send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+	eventually(t, "the connection is open", func() bool { return l.ConnectionCount() == 1 })
+	time.Sleep(10 * time.Millisecond)
+	l.Drain()
+	l.CloseIdle()
+	send(t, conn, "cd")
+	if status, body, closes := receive(t, in); status != 200 || body != "abcd" || !closes {
+		t.Fatalf("got status %d, body %q, closes %v; want 200, \"abcd\", true", status, body, closes)
+	}
+}
+
+// TestRefuseUnreadAnswersBodyThatDoesNotEnd guards against a request whose body comes too late for a
+// stopping node and that ends without an answer.
+func TestRefuseUnreadAnswersBodyThatDoesNotEnd(t *testing.T) {
+	l, address, _, handled := startDraining(t)
+	conn, in := dial(t, address)
+	send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+	eventually(t, "the connection is open", func() bool { return l.ConnectionCount() == 1 })
+	time.Sleep(10 * time.Millisecond)
+	l.Drain()
+	l.RefuseUnread()
+	if status, _, closes := receive(t, in); status != 503 || !closes || handled.Load() != 0 {
+		t.Fatalf("got status %d, closes %v, %d handled; want 503, true, none", status, closes, handled.Load())
+	}
+}
--- a/node/sidecar/caller.go
+++ b/node/sidecar/caller.go
@@ -122,6 +122,9 @@
 	case mesh.StepRefuse:
 		status = fasthttp.StatusServiceUnavailable
 		s.respondWithError(x, status, step.RetryAfter)
+		if step.Reason == mesh.ReasonLeaving {
+			s.refusedStopping.Add(1)
+		}
 	case mesh.StepUnknownRoute:
 		status = fasthttp.StatusNotFound
 		s.respondWithError(x, status, 0)
--- a/node/sidecar/requests_test.go
+++ b/node/sidecar/requests_test.go
@@ -172,7 +172,7 @@
 		ctx.SetBodyString("nobody's")
 	})
 	if got := f.caller(front).request("POST", "/write/1", "r1"); got.status != 502 || got.body != "" {
-		t.Fatalf("got %+v, want status 502 without a body", got)
+		t.Fatalf("got %+v, want status 502 without a body\n%s", got, f.logs)
 	}
 }
 
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -87,7 +87,9 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 	activeRequests atomic.Int64
-	fatalErrors    chan error
+	// refusedStopping counts the requests that were refused because the node is about to stop.
+	refusedStopping atomic.Int64
+	fatalErrors     chan error
 }
 
 // Start opens the listeners and starts a node, which runs until Stop or Abort is called.
--- a/node/sidecar/stop.go
+++ b/node/sidecar/stop.go
@@ -20,32 +20,55 @@
 )
 
 // Stop drains the node and shuts it down once stopNoticeTime has passed and all open
-// requests are answered, or shortly before the grace period ends.
+// requests are answered, or shortly before the grace period ends. Requests that cannot be
+// answered until then are left unread, or refused before an upstream runs them.
 func (s *Sidecar) Stop() {
-	started := time.Now()
+	end := time.Now().Add(s.settings.Load().gracePeriod() - shutdownReserve)
 	s.mu.Lock()
-	s.node.Leave()
+	s.node.Leave(s.now(), s.now()+time.Until(end))
 	s.mu.Unlock()
 	s.log.Info("stopping", field("active", s.activeRequests.Load()))
 	s.sendMessages(true)
-	s.callerListener.Drain()
-	s.peerListener.Drain()
-	timeout := s.settings.Load().gracePeriod() - shutdownReserve
-	time.Sleep(min(stopNoticeTime, timeout))
-	s.callerListener.Close()
-	s.peerListener.Close()
-	// A draining listener closes each connection after the last response on it, so no
-	// connection is open once all received requests are answered.
-	for time.Since(started) < timeout && s.callerListener.ConnectionCount()+s.peerListener.ConnectionCount() > 0 {
-		s.callerListener.CloseIdle()
-		s.peerListener.CloseIdle()
-		time.Sleep(stopPollInterval)
+	servers := []*listener.Listener{s.callerListener, s.peerListener}
+	for _, l := range servers {
+		l.Drain()
 	}
+	time.Sleep(min(stopNoticeTime, time.Until(end)))
+	s.peerListener.Close()
+	s.awaitLastResponses(end, servers)
 	s.cancel()
-	s.log.Info("stopped", field("active", s.activeRequests.Load()))
+	s.log.Info("stopped", field("active", s.activeRequests.Load()), field("refused", s.refusedStopping.Load()))
 	s.log.Close()
 }
 
+// awaitLastResponses returns once all requests are answered, at end at the latest. A draining
+// listener closes each connection after its last response, so that no connection is open then.
+// The listener for callers is open for as long as the local upstream runs requests, which may make
+// calls.
+func (s *Sidecar) awaitLastResponses(end time.Time, servers []*listener.Listener) {
+	refusing := false
+	for ; time.Now().Before(end); time.Sleep(stopPollInterval) {
+		s.mu.Lock()
+		running, lastStartOver := s.node.Load().Running, s.node.Stopping(s.now())
+		s.mu.Unlock()
+		if running == 0 {
+			s.callerListener.Close()
+		}
+		open := 0
+		for _, l := range servers {
+			if lastStartOver && !refusing {
+				l.RefuseUnread()
+			}
+			l.CloseIdle()
+			open += l.ConnectionCount()
+		}
+		refusing = lastStartOver
+		if open == 0 && running == 0 {
+			return
+		}
+	}
+}
+
 // Abort shuts the node down at once. Open requests get no response.
 func (s *Sidecar) Abort() {
 	s.cancel()
--- a/node/sidecar/stop_test.go
+++ b/node/sidecar/stop_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -51,6 +52,72 @@
 	stops.Wait()
 }
 
+// TestStopCutsNoPipelinedRequest guards against requests that a stopping node passes on to an
+// upstream and cuts when it ends, because their callers send the next ones without waiting. It stops
+// the node where the requests enter and the node beside an upstream, one after the other.
+func TestStopCutsNoPipelinedRequest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("stopping takes several seconds")
+	}
+	f := newFleet(t, "front/"+front, "deep/"+deep, "deep/"+secondDeep)
+	work := func(ctx *fasthttp.RequestCtx) {
+		time.Sleep(600 * time.Millisecond)
+		ctx.SetBodyString("whole")
+	}
+	f.upstreams[deep].setResponse(work)
+	f.upstreams[secondDeep].setResponse(work)
+	answered := make(chan string, 1000)
+	var callers sync.WaitGroup
+	for i := range 4 {
+		c := f.caller(front)
+		sent := make(chan string, 1000)
+		callers.Go(func() {
+			for k := 0; ; k++ {
+				id := fmt.Sprintf("r%d-%d", i, k)
+				sent <- id
+				if _, err := fmt.Fprintf(c.conn, "POST /write/1 HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Left: 4000\r\nContent-Length: 0\r\n\r\n", id); err != nil {
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+		callers.Go(func() {
+			defer c.conn.Close()
+			for closes := false; !closes; {
+				var resp fasthttp.Response
+				if resp.Read(c.reader) != nil {
+					return
+				}
+				answered <- <-sent
+				closes = resp.ConnectionClose()
+			}
+		})
+	}
+	f.eventually("requests running", func() bool {
+		return len(f.upstreams[deep].receivedRequests()) > 3 && len(f.upstreams[secondDeep].receivedRequests()) > 3
+	})
+	f.sidecars[deep].Stop()
+	f.sidecars[front].Stop()
+	// The end of the process closes what is still open.
+	f.sidecars[front].Abort()
+	callers.Wait()
+	close(answered)
+	got := map[string]bool{}
+	for id := range answered {
+		got[id] = true
+	}
+	for _, ip := range []string{deep, secondDeep} {
+		for _, received := range f.upstreams[ip].receivedRequests() {
+			if id, _, _ := strings.Cut(received, " "); !got[id] {
+				t.Errorf("%s has run and was not answered", id)
+			}
+		}
+	}
+	if text := f.logs.String(); strings.Count(text, "msg=stopped active=0") != 2 {
+		t.Errorf("a node stopped with open requests:\n%s", text)
+	}
+}
+
 // blockedWriter blocks all writes until release is closed, like a pipe that nobody
 // reads.
 type blockedWriter struct{ release chan struct{} }
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -46,6 +46,7 @@
 	o := mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonUnreachable}
 	s.mu.Lock()
 	mayRun := s.node.ReceiveWork(s.now(), requestHash(req.id))
+	req.deadline = s.node.CapDeadline(req.deadline)
 	s.mu.Unlock()
 	if mayRun {
 		o = s.runOnUpstream(ctx, req)
@@ -347,6 +348,7 @@
 		s.node.AdoptLimit(s.now(), req.rateLimit)
 	}
 	decision := s.node.OfferWork(s.now(), work)
+	refusal := s.node.RefusalReason(s.now())
 	if decision == concurrency.Refuse {
 		s.node.WorkRefused(work)
 	}
@@ -360,7 +362,7 @@
 	case decision == concurrency.Admit:
 		return work, mesh.ReasonNone
 	case decision == concurrency.Refuse:
-		return work, mesh.ReasonBusy
+		return work, refusal
 	}
 	select {
 	case decision = <-decided:
@@ -384,7 +386,7 @@
 		// The caller has disconnected; the outcome is only logged.
 		return work, mesh.ReasonDeadline
 	}
-	return work, mesh.ReasonBusy
+	return work, s.node.RefusalReason(s.now())
 }
 
 // dispatchQueuedWork passes on all decisions about queued requests that can be made
