Start no request at an upstream that left half a second ago

A request that another node sends to an upstream in time may wait in the queue of the node beside it, for as long as its deadline allows, and reach it after the bound although all nodes know by then that it drains or is gone. So may a request of a node that learned late.

Cause: whether an upstream leaves was looked at when a target is chosen, and not again where the request starts.

TestDepartedUpstreamGetsNoWaitingWork is for it, marked as leaving and removed; without the change the waiting work starts.

--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -140,7 +140,7 @@
 	ReasonShed
 	// ReasonMoved means that another upstream than the expected one answered.
 	ReasonMoved
-	// ReasonLeaving means that the node is about to stop.
+	// ReasonLeaving means that the node is about to stop, or that the upstream beside it has left.
 	ReasonLeaving
 	// ReasonUnreachable means that no connection to the node or upstream could be
 	// opened.
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -83,8 +83,9 @@
 	// requests were refused admission.
 	nearCapacity bool
 	leaving      bool
-	// stop bounds the requests that start while this node is about to stop, nil before.
-	stop *concurrency.Closing
+	// stop bounds the requests that start while this node is about to stop, nil before. departure
+	// bounds those that start at the local upstream after it has left, nil if it has not.
+	stop, departure *concurrency.Closing
 	// wasUrgent is set if heartbeats were urgent at the last call of DueHeartbeats, and
 	// planStale if relays told news for which the plan should not wait.
 	wasUrgent, planStale bool
--- a/core/mesh/stop.go
+++ b/core/mesh/stop.go
@@ -13,6 +13,9 @@
 	longestFactor = 2
 	// stopAnswerTime is how long before its end a stopping node needs the last answers.
 	stopAnswerTime = 100 * time.Millisecond
+	// departureDelay is how long requests still start at the local upstream after this node has
+	// learned that it drains or is gone. Other nodes learn it within that time.
+	departureDelay = 500 * time.Millisecond
 )
 
 // longestTime returns the longest expected time of requests that take mean on average.
@@ -23,7 +26,34 @@
 func (n *Node) Leave(now, end time.Duration) {
 	n.leaving, n.wasUrgent = true, false
 	n.stop = &concurrency.Closing{LastStart: now + time.Duration(startShare*float64(end-now)), End: end}
-	n.limiter.SetClosing(n.stop)
+	n.limiter.SetClosing(n.closing())
+}
+
+// closing returns the bound on requests that start at the local upstream, nil if there is none.
+func (n *Node) closing() *concurrency.Closing {
+	switch {
+	case n.stop == nil:
+		return n.departure
+	case n.departure == nil || n.stop.LastStart <= n.departure.LastStart:
+		return n.stop
+	}
+	return &concurrency.Closing{LastStart: n.departure.LastStart, End: n.stop.End}
+}
+
+// updateDeparture records whether the local upstream drains or is gone. Requests that wait for it,
+// or that nodes send which do not know yet, do not start there after departureDelay.
+func (n *Node) updateDeparture(now time.Duration) {
+	own := n.ownRegistration()
+	departed := own == nil && n.ownRegistrationID != "" || own != nil && own.Draining
+	switch {
+	case departed == (n.departure != nil):
+		return
+	case departed:
+		n.departure = &concurrency.Closing{LastStart: now + departureDelay}
+	default:
+		n.departure = nil
+	}
+	n.limiter.SetClosing(n.closing())
 }
 
 // mayFinish reports whether c can be answered before this node stops if it is sent now. Calls of
--- a/core/mesh/stop_test.go
+++ b/core/mesh/stop_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/concurrency"
+	"github.com/shallotspool/shallotspool/core/registry"
 )
 
 // stopTime is how long the nodes of the tests have from Leave to their end.
@@ -72,6 +73,36 @@
 	expectWaitingRefused(t, n, func() { n.Leave(0, stopTime) }, time.Duration(startShare*float64(stopTime)))
 }
 
+// TestDepartedUpstreamGetsNoWaitingWork guards against requests that reach an upstream after it left,
+// because they waited in the queue of the node beside it, or were sent by a node that learned late.
+func TestDepartedUpstreamGetsNoWaitingWork(t *testing.T) {
+	for _, removed := range []bool{true, false} {
+		n := newFleet(t, testRoute("a", true))[0]
+		own := *n.ownRegistration()
+		revision := n.Registry().Position().Revision
+		expectWaitingRefused(t, n, func() {
+			change := registry.Change{ID: own.ID, Revision: revision + 1, Removed: removed}
+			if !removed {
+				draining := own
+				draining.Draining = true
+				change.Upstream = &draining
+			}
+			n.Registry().Apply(0, []registry.Change{change})
+			n.RegistryChanged()
+			n.ExpireWork(0)
+		}, departureDelay)
+		// A later run of the upstream gets requests again.
+		next := own
+		next.ID += "-next"
+		n.Registry().Apply(time.Second, []registry.Change{{ID: own.ID, Revision: revision + 2, Removed: true}, {ID: next.ID, Revision: revision + 3, Upstream: &next}})
+		n.RegistryChanged()
+		n.ExpireWork(time.Second)
+		if d := n.OfferWork(time.Second, Work{ID: 1000, Deadline: time.Minute}); d == concurrency.Refuse {
+			t.Errorf("removed %v: the next run of the upstream gets no requests", removed)
+		}
+	}
+}
+
 // expectWaitingRefused checks that n refuses new and waiting work from lastStart after close.
 func expectWaitingRefused(t *testing.T, n *Node, closing func(), lastStart time.Duration) {
 	t.Helper()
--- a/core/mesh/work.go
+++ b/core/mesh/work.go
@@ -70,6 +70,7 @@
 // ExpireWork removes and returns the queued requests that can no longer be answered in
 // time, or that must not start any more.
 func (n *Node) ExpireWork(now time.Duration) []uint64 {
+	n.updateDeparture(now)
 	return n.limiter.RemoveExpired(now)
 }
 
