--- a/harness/faults/checks_test.go
+++ b/harness/faults/checks_test.go
@@ -99,6 +99,37 @@
 	}
 }
 
+// TestFaultExcusesLateChangesForAWhile guards against a fault shortly before a change that excuses
+// all late requests after it, also those sent long after its end.
+func TestFaultExcusesLateChangesForAWhile(t *testing.T) {
+	for _, c := range []struct {
+		fault fault
+		found bool
+	}{
+		{fault{from: 9 * time.Second, to: 9 * time.Second}, true},
+		{fault{from: 9 * time.Second, to: 18 * time.Second}, false},
+		{fault{from: 9 * time.Second, to: 9 * time.Second, outage: true}, false},
+		{fault{from: 9 * time.Second, to: 18 * time.Second, planned: true}, true},
+	} {
+		h := newFaultFreeHistory()
+		c.fault.instance = anyInstance
+		h.faults = []fault{c.fault}
+		h.drains = []drainPeriod{{upstream: "u0", from: 10 * time.Second}}
+		h.publishedAt[2] = 10 * time.Second
+		late := *h.requests["c1"]
+		late.id, late.routeVersion, late.status = "c4", 2, 404
+		h.requests["c4"] = &late
+		// c1 and c4 were sent at 20 s.
+		h.arrivals = h.arrivals[:1]
+		if found := len(findRequestsToDrained(h)) > 0; found != c.found {
+			t.Errorf("%+v: a request to an upstream that left was found: %v, want %v", c.fault, found, c.found)
+		}
+		if found := len(findLateTables(h)) > 0; found != c.found {
+			t.Errorf("%+v: a late table was found: %v, want %v", c.fault, found, c.found)
+		}
+	}
+}
+
 // TestScheduleIsDeterministic checks that a seed always gives the same faults.
 func TestScheduleIsDeterministic(t *testing.T) {
 	a, b := drawSchedule(7, 12), drawSchedule(7, 12)
