Set the time for a late body before its request is recorded

The callers of the scenario stops that pipeline lengthened the time of a request after another goroutine had it, so that it could give up too early and count an answer as lost. The writing of a request is a function of its own.

--- a/harness/faults/stops.go
+++ b/harness/faults/stops.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"syscall"
 	"time"
 
@@ -76,32 +75,38 @@
 	sent := make(chan *request, 1000)
 	var answers conc.WaitGroup
 	answers.Go(func() { r.readPipelined(conn, sent) })
-	for k := 0; ctx.Err() == nil && k < cap(sent); k++ {
+	for k := 0; ctx.Err() == nil && k < cap(sent) && err == nil; k++ {
 		q := &request{id: fmt.Sprintf("%s-%d", prefix, k), node: n.index, timeout: callerTimeout}
-		body := "order of " + q.id
-		head := fmt.Sprintf("POST /order/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n", q.id, virtualHost,
-			platform.HeaderRequestID, q.id, platform.HeaderDeadline, (callerTimeout + maxBodyPause).Milliseconds(), len(body))
-		if k > 0 || random.Float64() >= lateBodyRatio {
-			head += body
-			body = ""
+		pause := time.Duration(0)
+		if k == 0 && random.Float64() < lateBodyRatio {
+			pause = time.Duration(random.Int64N(int64(maxBodyPause)))
+			q.timeout += maxBodyPause
 		}
 		r.history.recordRequest(q)
 		sent <- q
-		_, err := conn.Write([]byte(head))
-		if body != "" {
-			q.timeout += maxBodyPause
-			time.Sleep(time.Duration(random.Int64N(int64(maxBodyPause))))
-			_, err = conn.Write([]byte(body))
-		}
-		if err != nil {
-			break
-		}
+		err = writePipelined(conn, q, pause)
 		time.Sleep(pipelinePause)
 	}
 	close(sent)
 	answers.Wait()
 }
 
+// writePipelined sends a request, with a pause before its body.
+func writePipelined(conn net.Conn, q *request, pause time.Duration) error {
+	body := "order of " + q.id
+	head := fmt.Sprintf("POST /order/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n", q.id, virtualHost,
+		platform.HeaderRequestID, q.id, platform.HeaderDeadline, q.timeout.Milliseconds(), len(body))
+	if pause == 0 {
+		head, body = head+body, ""
+	}
+	if _, err := conn.Write([]byte(head)); err != nil {
+		return err
+	}
+	time.Sleep(pause)
+	_, err := conn.Write([]byte(body))
+	return err
+}
+
 // readPipelined records the answers to the requests sent on a connection. Those without an answer end
 // with the connection.
 func (r *runner) readPipelined(conn net.Conn, sent <-chan *request) {
@@ -118,7 +123,7 @@
 		r.history.update(func() {
 			q.endedAt = r.history.now()
 			if answered {
-				q.status, q.gotBody = resp.StatusCode(), strings.Clone(string(resp.Body()))
+				q.status, q.gotBody = resp.StatusCode(), string(resp.Body())
 				q.wantBody = responseBody(frontService, q.id)
 				q.stamped = len(resp.Header.Peek(platform.HeaderResponseStamp)) > 0
 				q.hasRetryAfter = len(resp.Header.Peek(platform.HeaderRetryAfter)) > 0
