Tell other nodes which registrations lapsed, with the time that is left

What callers saw: by tests under virtual time, requests to an upstream that had left, 2.05 to 2.2 s after the store said so (2 s are allowed) when a node that reads the store had just started; for good if that node stopped meanwhile, or had the entry from another reader (DRAIN). Cause: a registration that the store removes within a grace period is kept for two seconds and then dropped. The state that a node sends to others listed it as present, so that they took over the position after the removal with it. Their own watch goes on from there and never tells of it. Change: StoreState names the lapsed registrations with their remaining time; the receiver removes them then. The digest covers lapses. MergePeerState has one more argument in three tests, with no lapses.

--- a/core/mesh/catchup.go
+++ b/core/mesh/catchup.go
@@ -18,8 +18,10 @@
 	// Unusable holds the IDs of registrations that RemoveInvalid took out of Upstreams. It is
 	// not sent.
 	Unusable []string `cbor:"-"`
-	// Present holds the IDs of all registrations.
+	// Present holds the IDs of all registrations, and Lapsed those of them that are gone from the
+	// store but may return.
 	Present []string
+	Lapsed  []registry.Lapse
 	// Removals holds the registrations that were removed recently. It is sent to a node
 	// whose state is of another era of the store.
 	Removals []registry.Upstream
@@ -54,7 +56,7 @@
 // known is of another era, that is all of it.
 func (n *Node) StateSince(now time.Duration, known StoreVersion) StoreState {
 	position := n.registry.Position()
-	state := StoreState{Era: position.Era, Revision: position.Revision, Digest: registryDigest(n.registry)}
+	state := StoreState{Era: position.Era, Revision: position.Revision, Digest: registryDigest(n.registry), Lapsed: n.registry.Lapses(now)}
 	if n.table != nil && n.table.Version > known.Version {
 		state.Table = n.table
 	}
@@ -189,7 +191,7 @@
 	for _, id := range state.Unusable {
 		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: id, Era: state.Era, Revision: state.Revision})
 	}
-	for _, id := range n.registry.MergePeerState(now, changes.Upstreams, state.Present, state.Position()) {
+	for _, id := range n.registry.MergePeerState(now, changes.Upstreams, state.Present, state.Lapsed, state.Position()) {
 		changes.Upstreams = append(changes.Upstreams, registry.Change{ID: id, Era: state.Era, Revision: state.Revision, Removed: true})
 	}
 	n.RegistryChanged()
--- a/core/mesh/drain_test.go
+++ b/core/mesh/drain_test.go
@@ -263,6 +263,62 @@
 	}
 }
 
+// TestRemovalIsInForceJustAfterReadersStarted guards against requests to an upstream that left,
+// because its registration lapsed at nodes that had read the store for the first time, and the
+// others took it over from these as present, some of them for good.
+func TestRemovalIsInForceJustAfterReadersStarted(t *testing.T) {
+	sizes := [][2]int{{7, 1}, {12, 3}}
+	if !testing.Short() {
+		sizes = append(sizes, [2]int{84, 6})
+	}
+	for _, size := range sizes {
+		for moment := 150 * time.Millisecond; moment < registry.ReturnGracePeriod; moment += 250 * time.Millisecond {
+			for _, restarts := range []int{1, 2} {
+				for _, cuts := range []int{0, 20} {
+					if size[0] > 12 && (restarts == 1 || cuts == 0) {
+						continue
+					}
+					f := newDrainFleet(t, size[0], size[1], 1)
+					f.run(6*time.Second, f.step)
+					restarted := f.restartReaders(restarts)
+					for i := range cuts {
+						f.cutAt = append(f.cutAt, f.now+time.Duration(i)*100*time.Millisecond)
+					}
+					f.run(moment, f.step)
+					f.remove()
+					f.run(4*time.Second, f.step)
+					f.expectInForceBesides(restarted, fmt.Sprintf("%d nodes, %d starts %v before, %d cuts", size[0], restarts, moment, cuts))
+				}
+			}
+		}
+	}
+}
+
+// expectInForceBesides checks that all nodes but some applied the removal in time.
+func (f *drainFleet) expectInForceBesides(some []*exchangeMember, name string) {
+	f.t.Helper()
+	for _, m := range f.members {
+		if applied, ok := f.appliedAt[m]; !slices.Contains(some, m) && (!ok || applied-f.removedAt > drainBound) {
+			f.t.Errorf("%s: %s (reads %v) applied the removal %v (%v) after the acknowledgement, want within %v", name, m.ip, !m.node.following, applied-f.removedAt, ok, drainBound)
+		}
+	}
+}
+
+// restartReaders starts up to count nodes of the last data centre anew that read the store, and
+// returns them.
+func (f *drainFleet) restartReaders(count int) (restarted []*exchangeMember) {
+	last := f.members[len(f.members)-1]
+	for _, m := range f.members {
+		if len(restarted) < count && m != last && m.dataCentre == last.dataCentre && m.node.readsStore(f.clock(m)) {
+			f.startEmpty(m)
+			m.node.StoreLost()
+			f.readers[m] = &simReader{syncAt: f.now + time.Duration(f.random.Int64N(int64(300*time.Millisecond)))}
+			restarted = append(restarted, m)
+		}
+	}
+	return restarted
+}
+
 // disturb stops a node that reads the store, or cuts the last data centre off from the others.
 func (f *drainFleet) disturb(trouble string) {
 	last := f.members[len(f.members)-1]
--- a/core/mesh/exchange_fleet_test.go
+++ b/core/mesh/exchange_fleet_test.go
@@ -104,16 +104,21 @@
 	return f
 }
 
-// start starts the node of an instance anew.
+// start starts the node of an instance anew. It knows the table and all upstreams.
 func (f *exchangeFleet) start(m *exchangeMember) {
+	f.startEmpty(m)
+	m.node.SetTable(f.now, f.table)
+	m.node.Registry().Replace(f.now, f.entries, registry.Position{Revision: uint64(len(f.entries))})
+	m.node.RegistryChanged()
+}
+
+// startEmpty starts the node of an instance anew, without any state.
+func (f *exchangeFleet) startEmpty(m *exchangeMember) {
 	m.incarnation = max(m.incarnation+1, int64(f.now/time.Microsecond)+1)
 	m.node = New(Config{
 		Instance: m.ip, Incarnation: m.incarnation, Service: m.service, DataCentre: m.dataCentre, Seed: f.random.Uint64(),
 		RetryBounds: testRetryBounds, StartedAt: f.now,
 	})
-	m.node.SetTable(f.now, f.table)
-	m.node.Registry().Replace(f.now, f.entries, registry.Position{Revision: uint64(len(f.entries))})
-	m.node.RegistryChanged()
 	m.alive, m.paused, m.offset, m.startedAt = true, false, 0, f.now
 }
 
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -97,11 +97,15 @@
 }
 
 // registryDigest returns a hash that identifies a set of registrations. It changes
-// whenever one is added, changed or removed.
+// whenever one is added, changed or removed, lapses or returns.
 func registryDigest(r *registry.Registry) uint32 {
 	sum := uint64(0)
 	r.ForEach(func(u *registry.Upstream) {
-		sum += xxhash.Sum64String(u.ID) * (2*u.Revision + 1)
+		id := xxhash.Sum64String(u.ID)
+		sum += id * (2*u.Revision + 1)
+		if r.Lapsed(u.ID) {
+			sum += id
+		}
 	})
 	return uint32(sum ^ sum>>32)
 }
--- a/core/mesh/readers_test.go
+++ b/core/mesh/readers_test.go
@@ -164,6 +164,29 @@
 	}
 }
 
+// TestLapsedUpstreamIsRemovedAtNewReaders guards against an upstream that left and is used for
+// good, because the nodes that read the store stopped while its registration had lapsed there, and
+// the nodes that read it from then on had taken it over as present.
+func TestLapsedUpstreamIsRemovedAtNewReaders(t *testing.T) {
+	// The store was lost before the first answers, so that removals are in a grace period.
+	f := newReaderFleet(t)
+	f.advance(5)
+	id := f.nodes[0].Registry().ServiceUpstreams("b")[0].ID
+	f.advance(2, registry.Change{ID: id, Revision: 30, Removed: true})
+	if got := f.countKnowing(id); got != len(f.nodes) {
+		t.Fatalf("%d nodes know the upstream in the grace period, want all %d", got, len(f.nodes))
+	}
+	for _, n := range f.readers() {
+		f.silent[n], f.storeCutOff[n] = true, true
+	}
+	f.advance(int((registry.ReturnGracePeriod+drainBound)/HeartbeatInterval) + 1)
+	for _, n := range f.nodes {
+		if !f.silent[n] && n.Registry().Get(id) != nil {
+			t.Errorf("%s (reads %v) still knows the upstream", n.cfg.Instance, !n.following)
+		}
+	}
+}
+
 // TestNewReaderRemovesUpstreamsAtOnce checks that a node that takes over from readers
 // that became silent, or that lost only their own connection to the store, removes
 // unregistered upstreams without a grace period.
--- a/core/mesh/validate.go
+++ b/core/mesh/validate.go
@@ -117,7 +117,7 @@
 // no upstream to use; see StoreState.Unusable. err is marked with ErrInvalidMessage if the state
 // as a whole exceeds a limit.
 func (s *StoreState) RemoveInvalid() (problems []error, err error) {
-	if max(len(s.Upstreams), len(s.Present), len(s.Removals)) > maxStateEntries {
+	if max(len(s.Upstreams), len(s.Present), len(s.Lapsed), len(s.Removals)) > maxStateEntries {
 		return nil, errors.Mark(errors.Newf("more than %d registrations", maxStateEntries), ErrInvalidMessage)
 	}
 	if s.Table != nil {
--- a/core/registry/leaving_test.go
+++ b/core/registry/leaving_test.go
@@ -24,7 +24,7 @@
 		t.Fatal("the upstream is not draining after it said that it leaves")
 	}
 	r.Apply(0, []registry.Change{run(10, 2)})
-	r.MergePeerState(time.Second, []registry.Change{run(10, 3)}, []string{"a"}, at(3))
+	r.MergePeerState(time.Second, []registry.Change{run(10, 3)}, []string{"a"}, nil, at(3))
 	if !r.Get("a").Draining {
 		t.Fatal("the upstream is ready again in the same run")
 	}
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -117,13 +117,16 @@
 func (r *Registry) StoreDown() bool { return r.storeDown }
 
 // MergePeerState applies the state of another node: the changes since this node was
-// last current, and the IDs of all entries present. It removes all other entries, after
-// a grace period if the store was restored, and returns their IDs, sorted.
-func (r *Registry) MergePeerState(now time.Duration, changed []Change, present []string, position Position) (removed []string) {
+// last current, the IDs of all entries present, and those of them that lapsed there. It removes
+// all other entries, after a grace period if the store was restored, and returns their IDs, sorted.
+func (r *Registry) MergePeerState(now time.Duration, changed []Change, present []string, lapses []Lapse, position Position) (removed []string) {
 	r.Advance(now, position)
 	for _, c := range changed {
 		r.upsert(now, c)
 	}
+	for _, l := range lapses {
+		r.adoptLapse(now, l)
+	}
 	listed := make(map[string]bool, len(present))
 	for _, id := range present {
 		listed[id] = true
@@ -285,14 +288,6 @@
 	return removed
 }
 
-// graceOver reports whether a lapsed entry had its time to return.
-func (r *Registry) graceOver(now time.Duration, e *entry) bool {
-	if e.missingAtPeer {
-		return now >= e.removeAt
-	}
-	return !r.storeDown && now >= max(e.removeAt, r.graceEndsAt)
-}
-
 // RemoveMoved removes an entry because another upstream answers at its address.
 // The entry is accepted again once it changes.
 func (r *Registry) RemoveMoved(now time.Duration, id string) {
--- a/core/registry/restore_test.go
+++ b/core/registry/restore_test.go
@@ -59,7 +59,7 @@
 		r.Apply(0, []registry.Change{removal})
 		listed := []registry.Change{written("a", 2, 50, 7, false), written("b", 2, 51, 1, false)}
 		if throughPeer {
-			r.MergePeerState(0, listed, []string{"a", "b"}, inEra(2, 51))
+			r.MergePeerState(0, listed, []string{"a", "b"}, nil, inEra(2, 51))
 		} else {
 			r.Replace(0, listed, inEra(2, 51))
 		}
@@ -76,7 +76,7 @@
 		r := registry.New()
 		r.Replace(0, []registry.Change{written("a", 1, 90, 7, false), written("b", 1, 91, 1, false)}, inEra(1, 91))
 		if throughPeer {
-			r.MergePeerState(time.Second, nil, nil, inEra(2, 50))
+			r.MergePeerState(time.Second, nil, nil, nil, inEra(2, 50))
 		} else {
 			r.Replace(time.Second, nil, inEra(2, 50))
 		}
