Take a start for an outage only if the first reads fail

What callers saw: by tests, requests to an upstream that had left for up to two seconds more at a node that had read the store for the first time, and at the nodes that follow it (DRAIN). Cause: before its first read a node counted as one in an outage. Its first answer, though it came at once, began the grace period in which removals are not in force. Evidence: TestStartIsNoOutage fails without the change for a start with no and with one failed read; TestRemovalAfterCutWatchIsInForceAtOnce, which waited for two seconds after the start, fails without the change now that it does not wait. Change: a node that has not read the store yet takes the state from others, as before, but is not in an outage; two failed reads in a row begin one, as at any other time. The simulations start their nodes as the sidecar does now.

--- a/core/mesh/drain_test.go
+++ b/core/mesh/drain_test.go
@@ -66,7 +66,7 @@
 	f.changes = slices.Clone(f.entries)
 	for _, m := range f.members {
 		f.readers[m] = &simReader{syncAt: time.Duration(f.random.Int64N(int64(300 * time.Millisecond)))}
-		m.node.StoreLost()
+		m.node.StartReading()
 	}
 	return f
 }
@@ -272,7 +272,7 @@
 		sizes = append(sizes, [2]int{84, 6})
 	}
 	for _, size := range sizes {
-		for moment := 150 * time.Millisecond; moment < registry.ReturnGracePeriod; moment += 250 * time.Millisecond {
+		for moment := 50 * time.Millisecond; moment < registry.ReturnGracePeriod; moment += 250 * time.Millisecond {
 			for _, restarts := range []int{1, 2} {
 				for _, cuts := range []int{0, 20} {
 					if size[0] > 12 && (restarts == 1 || cuts == 0) {
@@ -311,7 +311,7 @@
 	for _, m := range f.members {
 		if len(restarted) < count && m != last && m.dataCentre == last.dataCentre && m.node.readsStore(f.clock(m)) {
 			f.startEmpty(m)
-			m.node.StoreLost()
+			m.node.StartReading()
 			f.readers[m] = &simReader{syncAt: f.now + time.Duration(f.random.Int64N(int64(300*time.Millisecond)))}
 			restarted = append(restarted, m)
 		}
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -74,8 +74,9 @@
 	nextReadAt time.Duration
 	// othersListed is set once a read of the store showed other instances of the data centre.
 	othersListed bool
-	// following is set while this node leaves reading the store to others.
-	following bool
+	// following is set while this node leaves reading the store to others, and unread until a
+	// first read of the store is answered or this node follows others.
+	following, unread bool
 	// digest identifies the set of known registrations, and adoptedDigest the set last
 	// taken over from another node; see registryDigest.
 	digest, adoptedDigest uint32
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -21,15 +21,19 @@
 // StoreAnswered records that the store answered this node.
 func (n *Node) StoreAnswered(now time.Duration) { n.storeAnsweredAt = now }
 
+// StartReading records that this node is about to read the store for the first time. Until a read
+// is answered it takes the store state from other nodes.
+func (n *Node) StartReading() { n.unread = true }
+
 // StoreLost records that the store does not answer this node.
 func (n *Node) StoreLost() {
-	n.storeAnsweredAt = 0
+	n.storeAnsweredAt, n.unread = 0, false
 	n.registry.MarkStoreDown()
 }
 
 // FollowReaders records that this node stops reading the store and follows the readers.
 func (n *Node) FollowReaders() {
-	n.storeAnsweredAt, n.following = 0, true
+	n.storeAnsweredAt, n.following, n.unread = 0, true, false
 	n.health = storeHealth{}
 	n.registry.ClearOutage()
 }
@@ -44,7 +48,7 @@
 }
 
 // learnsFromPeers reports whether this node takes the store state from other nodes.
-func (n *Node) learnsFromPeers() bool { return n.following || n.registry.StoreDown() }
+func (n *Node) learnsFromPeers() bool { return n.following || n.unread || n.registry.StoreDown() }
 
 // readsStore reports whether this node is in touch with the store.
 func (n *Node) readsStore(now time.Duration) bool {
--- a/core/mesh/store_health_test.go
+++ b/core/mesh/store_health_test.go
@@ -47,6 +47,33 @@
 	}
 }
 
+// TestStartIsNoOutage guards against a node that treats what the store says after its first answer as
+// after an outage, so that upstreams which left get requests for a grace period more.
+func TestStartIsNoOutage(t *testing.T) {
+	for failures, outage := range []bool{false, false, true} {
+		n := New(Config{Instance: "10.0.0.1", Service: "a", DataCentre: "x", Seed: 1, RetryBounds: testRetryBounds})
+		n.StartReading()
+		for range failures {
+			n.ReadFailed()
+		}
+		if !n.learnsFromPeers() {
+			t.Errorf("%d failed reads: the state of other nodes is not used before the first answer", failures)
+		}
+		if read := n.NextRead(); !read.List {
+			t.Errorf("%d failed reads: the next read is %+v, want a listing", failures, read)
+		}
+		if _, err := n.ApplyRead(time.Second, n.NextRead(), store.Changes{Revision: 20, Upstreams: testRegistrations()}); err != nil {
+			t.Fatal(err)
+		}
+		if n.learnsFromPeers() {
+			t.Errorf("%d failed reads: the state of other nodes is used while the store answers", failures)
+		}
+		if inForce := removeAfter(t, n, time.Second); inForce == outage {
+			t.Errorf("%d failed reads before the first answer: removal in force %v, want %v", failures, inForce, !outage)
+		}
+	}
+}
+
 // TestFailedCheckIsAnOutage guards against upstreams whose registrations lapsed while the store
 // was away and that get no requests before they had their time to return.
 func TestFailedCheckIsAnOutage(t *testing.T) {
--- a/core/mesh/store_reads.go
+++ b/core/mesh/store_reads.go
@@ -44,6 +44,7 @@
 		return nil, ErrStoreRestored
 	}
 	r.MarkStoreUp(now)
+	n.unread = false
 	n.StoreAnswered(now)
 	n.health.answered(read)
 	n.fetchFailingSince = 0
--- a/core/mesh/store_reads_test.go
+++ b/core/mesh/store_reads_test.go
@@ -18,7 +18,7 @@
 		f.entries = nil
 		for _, m := range f.members {
 			f.start(m)
-			m.node.StoreLost()
+			m.node.StartReading()
 		}
 		reads := 0
 		watching := map[*exchangeMember]bool{}
--- a/node/cmd/shallotd/cut_watch_test.go
+++ b/node/cmd/shallotd/cut_watch_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/shallotspool/shallotspool/core/registry"
 	"github.com/shallotspool/shallotspool/platform"
@@ -33,8 +32,6 @@
 		}
 		return true
 	}
-	// A node that has just started treats removals as after an outage.
-	time.Sleep(registry.ReturnGracePeriod)
 	for i := range leavers {
 		id := fmt.Sprintf("i-leaver-%d", i)
 		f.eventually(id+" is known", func() bool { return everywhere("upstream registered", id) })
--- a/node/sidecar/store_reads.go
+++ b/node/sidecar/store_reads.go
@@ -22,9 +22,9 @@
 // stops. While enough other nodes read the store, it leaves reading to them.
 func (s *Sidecar) runStoreReads() {
 	r := storeReadLoop{sidecar: s, available: true}
-	// Before its first read a node is in the same position as during an outage: nothing
-	// that it knows is confirmed by the store.
-	s.markStoreLost()
+	s.mu.Lock()
+	s.node.StartReading()
+	s.mu.Unlock()
 	for s.ctx.Err() == nil {
 		s.mu.Lock()
 		follows, due := s.node.ShouldFollow(s.now()), s.node.ReadDue(s.now())
@@ -40,12 +40,6 @@
 	}
 }
 
-func (s *Sidecar) markStoreLost() {
-	s.mu.Lock()
-	s.node.StoreLost()
-	s.mu.Unlock()
-}
-
 // storeReadLoop is the state of reading the store. available is false from when the store
 // is lost until a read succeeds or this node follows others. following means that other
 // nodes read the store for this one.
