Take a reset connection for a busy upstream, not for one that is down

What callers saw: by a test, an upstream that resets one connection beyond those that it accepts counts as faulty (share 1) at all nodes at once and gets no requests until a run succeeds or a probe is accepted. Cause: a connection that was reset before anything was sent on it counted as one that the upstream refused, so one failed connection as an outage. Evidence: TestResetConnectionIsNoOutageOfUpstream failed in four of four runs without the change. Change: if a connection to the upstream that was open before the request still is, the request is refused as busy, as when all connections of the pool are in use. If none is, the upstream is down. Result: the test passes, and those of crashes and failed exchanges in node/sidecar, twice.

--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -120,6 +120,7 @@
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonDeadline}
 	}
 	conn, err := p.GetWithMaxIdleTime(min(remaining, dialTimeout), maxIdle)
+	req.connectionReset = wasReset(err)
 	if err != nil {
 		reason := mesh.ReasonUnreachable
 		if errors.Is(err, pool.ErrFull) {
@@ -150,6 +151,7 @@
 	if err != nil {
 		sent := conn.Sent()
 		req.connectionEnded, req.outOfMemory = endedByRemote(err), errors.Is(err, memory.ErrExhausted)
+		req.connectionReset = !sent && wasReset(err)
 		req.response.Reset()
 		req.lease.Release()
 		p.Discard(conn)
@@ -173,6 +175,9 @@
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
 }
 
+// wasReset reports whether the remote side took a connection and reset it.
+func wasReset(err error) bool { return errors.IsAny(err, syscall.ECONNRESET, syscall.EPIPE) }
+
 // failedExchange returns the outcome of an exchange that ended without a complete
 // response. sent reports whether any byte of the request was written.
 func (s *Sidecar) failedExchange(p *pool.Pool, req *upstreamRequest, err error, sent bool) mesh.Outcome {
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -102,11 +102,16 @@
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: reason}
 	}
 	o := mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonUnreachable}
-	work.Started = s.now()
+	begun := s.now()
+	work.Started = begun
 	if s.keepWitness(req) {
 		work.Started = s.now()
 		o = s.exchange(ctx, s.upstreamPool, req, s.maxIdleFor(req), s.responseMatcher(req))
 	}
+	if req.connectionReset && s.upstreamPool.AnyOpenSince(s.started.Add(begun)) {
+		// The upstream lives, and takes no more connections.
+		o.Reason = mesh.ReasonBusy
+	}
 	if o.Kind == mesh.OutcomeAnswered {
 		o = s.readResponse(req, o)
 	}
@@ -136,6 +141,7 @@
 		return true // exchange reports the deadline
 	}
 	err := s.upstreamPool.KeepWitness(min(remaining, dialTimeout))
+	req.connectionReset = wasReset(err)
 	if err != nil {
 		s.log.Info("not connected", field("address", s.upstreamPool.Address()), field("request", req.id), field("error", err))
 	}
