Apply the limits of callers once, where a request enters

What callers saw: by tests, a request that one node accepts is lost (502, or another attempt) at the node beside the upstream if that has just started and has no table, or has one with lower limits; and 431 on a kept connection for a header that a newer table allows. Cause: the listener for other nodes applied the limits of callers by its own table, or the defaults, and answered 413 or 431 without a result. A connection kept the limits of the moment when it became idle, and a read buffer as large as the limit when it was opened. Change: between nodes only the memory for bodies bounds a request. Limits are read when a request begins; the read buffer starts at 4 KB and grows with the header.

--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -58,7 +60,7 @@
 // serve reads and handles requests until readRequests returns, then closes the
 // connection once the remaining responses are written or discarded.
 func (c *conn) serve() {
-	c.in = bufio.NewReaderSize(c.raw, max(c.l.limits().MaxHeaderBytes, bufferBytes))
+	c.in = bufio.NewReaderSize(c.raw, bufferBytes)
 	written := make(chan struct{})
 	c.l.cfg.Go(func() {
 		defer close(written)
@@ -166,14 +168,14 @@
 // readRequest waits for the next request and reads it whole. The error is a
 // *requestError if the request gets a response with an error status.
 func (c *conn) readRequest(x *Exchange) error {
-	limits := c.l.limits()
-	if err := c.waitForRequest(limits); err != nil {
+	if err := c.waitForRequest(c.l.limits().IdleTimeout); err != nil {
 		return err
 	}
 	defer c.endReading()
+	limits := c.l.limits()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	h := &x.Request.Header
-	if err := h.Read(c.in); err != nil {
+	if err := c.readHeader(h, limits.MaxHeaderBytes); err != nil {
 		return classifyHeaderError(err)
 	}
 	x.HeaderAt = time.Now()
@@ -187,6 +189,21 @@
 	return err
 }
 
+// readHeader reads a header. It makes the read buffer larger for one that does not fit, up to
+// maxBytes.
+func (c *conn) readHeader(h *fasthttp.RequestHeader, maxBytes int) error {
+	for {
+		err := h.Read(c.in)
+		var small *fasthttp.ErrSmallBuffer
+		if !errors.As(err, &small) || c.in.Size() >= maxBytes {
+			return err
+		}
+		buffered, _ := c.in.Peek(c.in.Buffered())
+		unread := bytes.NewReader(bytes.Clone(buffered))
+		c.in = bufio.NewReaderSize(io.MultiReader(unread, c.raw), min(2*c.in.Size(), maxBytes))
+	}
+}
+
 // bodyTimeout is how long a caller may take to send a body. It equals the timeout
 // of a request that states none.
 const bodyTimeout = 30 * time.Second
@@ -212,7 +229,7 @@
 
 // waitForRequest waits for the first byte of a request, for up to the idle timeout or, while a
 // request is open, without limit. It returns errDrained if none is to be read.
-func (c *conn) waitForRequest(limits Limits) error {
+func (c *conn) waitForRequest(idleTimeout time.Duration) error {
 	c.mu.Lock()
 	if c.openRequests > 0 && c.l.draining.Load() {
 		c.lastRead = true
@@ -223,7 +240,7 @@
 	if c.openRequests > 0 {
 		c.setReadDeadlineLocked(time.Time{})
 	} else {
-		c.setReadDeadlineLocked(time.Now().Add(limits.IdleTimeout))
+		c.setReadDeadlineLocked(time.Now().Add(idleTimeout))
 	}
 	c.mu.Unlock()
 	_, err := c.in.Peek(1)
--- a/node/internal/listener/limits.go
+++ b/node/internal/listener/limits.go
@@ -17,7 +17,8 @@
 	defaultIdleTimeout    = 60 * time.Second
 )
 
-// maxHeaderBufferBytes bounds MaxHeaderBytes, since each connection has a buffer of that size.
+// maxHeaderBufferBytes bounds MaxHeaderBytes, since a connection keeps a buffer of the size of its
+// largest header.
 const maxHeaderBufferBytes = 1 << 20
 
 // limits returns the current limits with the defaults filled in.
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -25,7 +25,7 @@
 	// the one whose response is written next. While that many wait, one further
 	// request is read, but not handled yet.
 	maxPipelined = 16
-	// bufferBytes is the size of a connection's write buffer and the minimum size
+	// bufferBytes is the size of a connection's write buffer and, until a header does not fit,
 	// of its read buffer.
 	bufferBytes = 4 << 10
 	// writeTimeout is how long a caller may take to read a response.
--- a/node/internal/listener/listener_test.go
+++ b/node/internal/listener/listener_test.go
@@ -310,3 +310,47 @@
 		t.Fatalf("got status %d, closes %v, %d handled; want 503, true, none", status, closes, handled.Load())
 	}
 }
+
+// TestHeaderLimitAppliesToOpenConnections guards against requests that are refused on connections
+// which were opened before the limit of their headers was raised.
+func TestHeaderLimitAppliesToOpenConnections(t *testing.T) {
+	var maxHeader atomic.Int64
+	maxHeader.Store(1 << 10)
+	l := listener.New(listener.Config{
+		Handler: echo, Limits: func() listener.Limits { return listener.Limits{MaxHeaderBytes: int(maxHeader.Load())} },
+		MaxConnections: 1, Go: func(f func()) { go f() },
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = l.Serve(ln) }()
+	t.Cleanup(l.Close)
+	conn, in := dial(t, ln.Addr().String())
+	request := func(field int) string {
+		return "POST / HTTP/1.1\r\nHost: h\r\nField: " + strings.Repeat("f", field) + "\r\nContent-Length: 4\r\n\r\nbody"
+	}
+	for _, step := range []struct{ limit, field, status int }{
+		{1 << 10, 100, fasthttp.StatusOK},
+		{64 << 10, 40 << 10, fasthttp.StatusOK},
+		{300 << 10, 250 << 10, fasthttp.StatusOK},
+		{64 << 10, 100 << 10, fasthttp.StatusRequestHeaderFieldsTooLarge},
+	} {
+		maxHeader.Store(int64(step.limit))
+		// A second request is in the buffer behind the first one.
+		text := request(step.field)
+		if step.status == fasthttp.StatusOK {
+			text += request(step.field)
+		}
+		go func() { _, _ = io.WriteString(conn, text) }()
+		for range strings.Count(text, "POST") {
+			var resp fasthttp.Response
+			if err := resp.Read(in); err != nil {
+				t.Fatalf("field of %d bytes: %v", step.field, err)
+			}
+			if resp.StatusCode() != step.status || step.status == fasthttp.StatusOK && string(resp.Body()) != "body" {
+				t.Fatalf("field of %d bytes: got status %d and body %q, want %d", step.field, resp.StatusCode(), resp.Body(), step.status)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/node/sidecar/peer_limits_test.go
@@ -0,0 +1,52 @@
+package sidecar_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// TestNodeWithoutTableTakesWhatOthersAccepted guards against requests that one node accepted and
+// that are lost at the node beside the upstream, because that has just started, or has another
+// table, and applies other limits of callers.
+func TestNodeWithoutTableTakesWhatOthersAccepted(t *testing.T) {
+	f := &fleet{t: t, store: newFakeStore(), sidecars: newFleet(t, "front/"+front).sidecars, upstreams: map[string]*fakeUpstream{}, logs: &syncBuffer{}}
+	f.store.unavailable = true
+	for i := range f.ports {
+		f.ports[i] = freePort(t)
+	}
+	u := &fakeUpstream{id: "i-" + deep, respond: func(*fasthttp.RequestCtx) {}}
+	ln, err := net.Listen("tcp", f.address(deep, upstreamPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, ReadBufferSize: 64 << 10, MaxRequestBodySize: 16 << 20}
+	go func() { _ = u.server.Serve(ln) }()
+	f.startNode("deep", deep)
+	for name, size := range map[string]struct{ field, body int }{
+		"header of 40 KB": {field: 40 << 10}, "body of 8 MB": {body: 8 << 20}, "body of 1 byte": {body: 1},
+	} {
+		conn, err := net.Dial("tcp", f.address(deep, peersPort))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+		var resp fasthttp.Response
+		go func() {
+			_, _ = fmt.Fprintf(conn, "POST /write/x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nX-Expect: i-%s\r\nX-Left: 20000\r\nShallot-Rank: 0 0 0 0\r\nX-Field: %s\r\nContent-Length: %d\r\n\r\n%s",
+				deep, strings.Repeat("f", size.field), size.body, strings.Repeat("b", size.body))
+		}()
+		if err := resp.Read(bufio.NewReader(conn)); err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else if result := string(resp.Header.Peek("Shallot-Result")); resp.StatusCode() != fasthttp.StatusOK || result == "" {
+			t.Errorf("%s: got status %d and result %q, want 200 from the upstream", name, resp.StatusCode(), result)
+		}
+		_ = conn.Close()
+	}
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"runtime/debug"
@@ -210,26 +211,20 @@
 	}
 }
 
-const (
-	// peerIdleTimeout is how long a listener keeps an idle connection from another
-	// node. It exceeds maxPeerIdle, so that the node that opened the connection closes
-	// it first.
-	peerIdleTimeout = 90 * time.Second
-	// maxNodeHeaderBytes is the most that a node adds to the header section of a
-	// request.
-	maxNodeHeaderBytes = 2 << 10
-)
+// peerIdleTimeout is how long a listener keeps an idle connection from another
+// node. It exceeds maxPeerIdle, so that the node that opened the connection closes
+// it first.
+const peerIdleTimeout = 90 * time.Second
 
 // noBodies returns the limits for listeners whose requests have no bodies.
 func noBodies() listener.Limits { return listener.Limits{MaxBodyBytes: 1} }
 
-// peerLimits returns the limits for requests from other nodes. They leave room for the
-// header fields that nodes add.
+// peerLimits returns the limits for requests from other nodes. The node where a request enters
+// has applied those of callers, by a table that this one may not have. The memory for bodies
+// bounds what is held.
 func (s *Sidecar) peerLimits() listener.Limits {
 	limits := s.callerLimits()
-	if limits.MaxHeaderBytes > 0 {
-		limits.MaxHeaderBytes += maxNodeHeaderBytes
-	}
+	limits.MaxHeaderBytes, limits.MaxBodyBytes = math.MaxInt32, math.MaxInt32
 	limits.IdleTimeout = peerIdleTimeout
 	return limits
 }
