Spell a node's instance in the settings as registrations do

What callers saw: nothing reported. By a test, a node whose settings spell its address in another way (::ffff:10.0.0.9) does not find the registration of its own upstream, nor would others count it as the node beside it. Cause: two rules for one value; the registry unmaps addresses, the settings did not. Change: both use registry.ParseAddress. Settings whose listen.heartbeats names no single instance (port 0, all addresses, several) are refused with the field's name. Result: the tests of settings in node/sidecar pass.

--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/sirupsen/logrus"
+
+	"github.com/shallotspool/shallotspool/core/registry"
 )
 
 // ErrInvalidSettings marks errors caused by an invalid settings file.
@@ -130,6 +132,9 @@
 			return errors.Newf("%s: %q is not IP:port", f.name, f.value)
 		}
 	}
+	if _, _, err := registry.ParseAddress(s.Listen.Heartbeats); err != nil {
+		return errors.Newf("listen.heartbeats: %q does not name the IP and the port of one instance", s.Listen.Heartbeats)
+	}
 	for _, f := range []struct {
 		name  string
 		value float64
@@ -151,9 +156,11 @@
 	return nil
 }
 
-// instance returns the IP address by which other nodes identify this one.
+// instance returns the IP address by which other nodes identify this one, spelled as in
+// registrations. The settings must be valid.
 func (s *Settings) instance() string {
-	return netip.MustParseAddrPort(s.Listen.Heartbeats).Addr().String()
+	_, instance, _ := registry.ParseAddress(s.Listen.Heartbeats)
+	return instance
 }
 
 func (s *Settings) gracePeriod() time.Duration { return seconds(s.Bounds.GraceSeconds) }
--- a/node/sidecar/settings_test.go
+++ b/node/sidecar/settings_test.go
@@ -47,6 +47,8 @@
 		{`service: "s"`, ``, "service: must be set"},
 		{`callers: "127.0.0.1:1"`, `callers: "nowhere"`, `listen.callers: "nowhere" is not IP:port`},
 		{`address: "127.0.0.1:7"`, `address: ""`, `store.address: "" is not IP:port`},
+		{`heartbeats: "127.0.0.1:4"`, `heartbeats: "0.0.0.0:4"`, `listen.heartbeats: "0.0.0.0:4" does not name`},
+		{`heartbeats: "127.0.0.1:4"`, `heartbeats: "127.0.0.1:0"`, `listen.heartbeats: "127.0.0.1:0" does not name`},
 		{`grace_seconds: 6`, `grace_seconds: 0`, "bounds.grace_seconds: 0 is not above 0"},
 		{`retry_slack: 49`, `retry_slack: -1`, "retry_slack: must not be below 0"},
 		{`memory_mb: 284`, `memory_mb: much`, "[15:14]"},
