Leave room for the fields of nodes in the header of a response

What callers saw: by a test, 502 for a request that had run, if its answer has a header of nearly 16 KB and came through another node. Cause: two rules for one value: the node beside the upstream and the one where the request entered have read buffers of the same size, and the first adds header fields. Evidence: TestLargestResponseHeaderIsDelivered fails without the change, from fields of 16,234 bytes or less on: 200 beside the upstream, 502 at the other node. Change: the read buffer of a connection to another node is 1 KB larger. Result: the test and those of node/internal/pool pass. The caller of the sidecar's tests reads larger headers.

--- a/node/internal/pool/conn.go
+++ b/node/internal/pool/conn.go
@@ -10,11 +10,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Buffer sizes of a connection. A response header must fit into the read buffer.
-const (
-	readBufferBytes  = 16 << 10
-	writeBufferBytes = 4 << 10
-)
+// MaxHeaderBytes is the size of the read buffer of a connection, into which a response header must
+// fit, unless Config.ExtraHeaderBytes adds to it.
+const MaxHeaderBytes = 16 << 10
+
+const writeBufferBytes = 4 << 10
 
 // Conn is a connection to a target. While one goroutine uses it, others may
 // call only Close.
@@ -37,9 +37,9 @@
 	idleSince time.Time
 }
 
-func newConn(raw net.Conn) *Conn {
+func newConn(raw net.Conn, extraHeaderBytes int) *Conn {
 	c := &Conn{Conn: raw, openedAt: time.Now(), idleSince: time.Now()}
-	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.Reader = bufio.NewReaderSize(c, MaxHeaderBytes+extraHeaderBytes)
 	c.Writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
 }
--- a/node/internal/pool/conn_test.go
+++ b/node/internal/pool/conn_test.go
@@ -29,7 +29,7 @@
 		var req fasthttp.Request
 		req.SetRequestURI("/")
 		req.Header.SetHost("h")
-		err := newConn(brokenConn{err: want}).Exchange(&req, &fasthttp.Response{}, 100)
+		err := newConn(brokenConn{err: want}, 0).Exchange(&req, &fasthttp.Response{}, 100)
 		if !errors.Is(err, want) {
 			t.Errorf("got error %v, want %v", err, want)
 		}
--- a/node/internal/pool/pool.go
+++ b/node/internal/pool/pool.go
@@ -34,6 +34,8 @@
 	// MaxIdleTime is how long an idle connection is kept; 0 means
 	// defaultIdleTime.
 	MaxIdleTime time.Duration
+	// ExtraHeaderBytes is added to MaxHeaderBytes for the fields that another node adds.
+	ExtraHeaderBytes int
 	// MaxConnections is the maximum number of connections, in use and idle.
 	MaxConnections int
 	// OnConnect is called with the time it took to open each new connection.
@@ -165,7 +167,7 @@
 	if p.cfg.OnConnect != nil {
 		p.cfg.OnConnect(time.Since(started))
 	}
-	c := newConn(raw)
+	c := newConn(raw, p.cfg.ExtraHeaderBytes)
 	p.mu.Lock()
 	p.established[c] = struct{}{}
 	p.mu.Unlock()
--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -29,6 +29,8 @@
 	maxResponseBytes = 64 << 20
 	// maxResponseShare is the share of the memory for bodies that a single response may take.
 	maxResponseShare = 0.5
+	// maxNodeHeaderBytes is the most that a node adds to the header of a response.
+	maxNodeHeaderBytes = 1 << 10
 	// maxPeerIdle is how long an idle connection to another node is kept. It is long
 	// enough for infrequent but steady requests to reuse connections, and short because
 	// TCP keep-alive probes every idle connection.
@@ -60,7 +62,7 @@
 		port := netip.MustParseAddrPort(s.settings.Load().Listen.Peers).Port()
 		p = pool.New(pool.Config{
 			Address: net.JoinHostPort(instance, strconv.Itoa(int(port))), SourceIP: net.ParseIP(s.instance),
-			MaxConnections: maxPeerConnections, TCPTimeouts: &tcpTimeouts, MaxIdleTime: maxPeerIdle,
+			MaxConnections: maxPeerConnections, TCPTimeouts: &tcpTimeouts, MaxIdleTime: maxPeerIdle, ExtraHeaderBytes: maxNodeHeaderBytes,
 		})
 		s.peerPools[instance] = p
 	}
--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -322,7 +322,7 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(func() { _ = conn.Close() })
-	return &caller{f.t, conn, bufio.NewReader(conn)}
+	return &caller{f.t, conn, bufio.NewReaderSize(conn, 32<<10)}
 }
 
 func (c *caller) send(method, path, id string) {
