Judge an address in the list of instances as one in a registration

What callers saw: nothing reported. By a test, a node of the daemon whose entry in the list has an address with a long zone cannot encode the frame with which it introduces itself; by the code, each of its links is closed as soon as it is open. Cause: two rules for one value. The list took every address that parses, frames bound its length. Evidence: TestListedInstanceCanBeToldToOthers fails without the change, and the two new cases of TestInvalidInstanceDoesNotAffectOthers (a long zone, 0.0.0.0). Change: the list uses registry.ParseAddress. Result: the tests of node/internal/platform and node/daemon pass.

--- a/node/internal/platform/instances.go
+++ b/node/internal/platform/instances.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/netip"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/shallotspool/shallotspool/core/membership"
+	"github.com/shallotspool/shallotspool/core/registry"
 )
 
 // The limits of the list of instances.
@@ -87,7 +87,7 @@
 		{"peer_address", e.PeerAddress}, {"link_address", e.LinkAddress},
 	}
 	for _, a := range addresses {
-		if ap, err := netip.ParseAddrPort(a.value); err != nil || ap.Port() == 0 {
+		if _, _, err := registry.ParseAddress(a.value); err != nil {
 			return a.field + " is not an IP:port"
 		}
 	}
