Judge a copy of the store by content if an entry lapsed without a removal

Cause: an entry that lapsed because another node does not have it is dropped after two seconds. If the store was restored meanwhile, the removal was remembered as one of the new era, and the older copy that lists the upstream counted as written after it. Change: a removal that was not read from the store keeps the era of its entry, so that the content decides, as for all entries of different eras.

--- a/core/registry/precedence.go
+++ b/core/registry/precedence.go
@@ -51,12 +51,15 @@
 }
 
 // rememberRemoval records that an entry was removed. Another one with its ID needs a
-// revision above the given one if it is of the present era.
+// revision above the given one if it is of the present era. revision is 0 if no removal was read
+// from the store; then what a copy in a later era than the entry's says is judged by its content.
 func (r *Registry) rememberRemoval(now time.Duration, u Upstream, revision uint64) {
 	if len(r.removals) >= maxUpstreams {
 		clear(r.removals)
 	}
-	u.Era, u.Revision = r.position.Era, revision
+	if revision > 0 || u.Era == r.position.Era {
+		u.Era, u.Revision = r.position.Era, revision
+	}
 	r.removals[u.ID] = removal{Upstream: u, at: now}
 }
 
--- a/core/registry/restore_test.go
+++ b/core/registry/restore_test.go
@@ -87,3 +87,20 @@
 		expectUpstreams(t, r, "a")
 	}
 }
+
+// TestLapsedEntryStaysRemovedInOlderCopy guards against sending requests again to an upstream that
+// was known to be gone, because its entry lapsed at this node only after the store was restored
+// from a copy that lists it, as another node does not have it.
+func TestLapsedEntryStaysRemovedInOlderCopy(t *testing.T) {
+	r := registry.New()
+	r.Replace(0, []registry.Change{written("a", 1, 90, 8, true), written("b", 1, 91, 1, false)}, inEra(1, 91))
+	r.MergePeerState(time.Second, nil, []string{"b"}, nil, inEra(2, 50))
+	r.Tick(time.Second + registry.ReturnGracePeriod)
+	expectUpstreams(t, r, "b")
+	listed := []registry.Change{written("a", 2, 50, 1, false), written("b", 2, 49, 1, false)}
+	r.Replace(4*time.Second, listed, inEra(2, 50))
+	expectUpstreams(t, r, "b")
+	// The upstream wrote later than what was known to be gone.
+	r.Replace(5*time.Second, []registry.Change{written("a", 2, 51, 9, false), listed[1]}, inEra(2, 51))
+	expectUpstreams(t, r, "ab")
+}
