Let a connection that waits in a full queue be no outage of the upstream

What callers saw: by a test, 503 for all requests to an upstream that answers, and no work for it from any node, once one more connection was not accepted within 0.4 s. Cause: a connection that is not accepted in time made the upstream down. The kernel drops the packet that opens a connection while the queue is full, and a busy upstream is the one whose queue is. Change: if the upstream has answered on another connection since this one was asked for, the request is refused as busy. A process that hangs answers nothing, so that it counts as down as before.

--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -122,7 +122,7 @@
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonDeadline}
 	}
 	conn, err := p.GetWithMaxIdleTime(min(remaining, dialTimeout), maxIdle)
-	req.connectionReset = wasReset(err)
+	req.connectError = err
 	if err != nil {
 		reason := mesh.ReasonUnreachable
 		if errors.Is(err, pool.ErrFull) {
@@ -153,7 +153,9 @@
 	if err != nil {
 		sent := conn.Sent()
 		req.connectionEnded, req.outOfMemory = endedByRemote(err), errors.Is(err, memory.ErrExhausted)
-		req.connectionReset = !sent && wasReset(err)
+		if !sent {
+			req.connectError = err
+		}
 		req.response.Reset()
 		req.lease.Release()
 		p.Discard(conn)
--- a/node/sidecar/node_headers.go
+++ b/node/sidecar/node_headers.go
@@ -35,9 +35,8 @@
 	// outOfMemory is set if the last exchange failed because this node has no memory left for
 	// responses.
 	outOfMemory bool
-	// connectionReset is set if the remote side reset the connection for the last exchange before
-	// anything was sent.
-	connectionReset bool
+	// connectError is why the last exchange got no connection, or lost it before anything was sent.
+	connectError error
 	// connectionEnded is set if the last exchange failed because the remote side ended the
 	// connection.
 	connectionEnded bool
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"strconv"
 	"syscall"
 	"time"
@@ -108,8 +109,7 @@
 		work.Started = s.now()
 		o = s.exchange(ctx, s.upstreamPool, req, s.maxIdleFor(req), s.responseMatcher(req))
 	}
-	if req.connectionReset && s.upstreamPool.AnyOpenSince(s.started.Add(begun)) {
-		// The upstream lives, and takes no more connections.
+	if req.connectError != nil && s.takesNoMoreConnections(req.connectError, begun) {
 		o.Reason = mesh.ReasonBusy
 	}
 	if o.Kind == mesh.OutcomeAnswered {
@@ -133,6 +133,23 @@
 	return o
 }
 
+// takesNoMoreConnections reports whether the upstream lives and only takes no more connections. It
+// either resets a connection, or leaves it in its queue until the time to connect has passed. begun is
+// when the connection was asked for.
+func (s *Sidecar) takesNoMoreConnections(err error, begun time.Duration) bool {
+	var netError net.Error
+	switch {
+	case wasReset(err):
+		return s.upstreamPool.AnyOpenSince(s.started.Add(begun))
+	case errors.As(err, &netError) && netError.Timeout():
+		// A process that hangs has open connections too.
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.answeredAt > begun
+	}
+	return false
+}
+
 // keepWitness keeps a connection to the local upstream that shows whether its process has
 // ended if the answer to req is lost. It returns false if the upstream accepts no connection.
 func (s *Sidecar) keepWitness(req *upstreamRequest) bool {
@@ -141,7 +158,7 @@
 		return true // exchange reports the deadline
 	}
 	err := s.upstreamPool.KeepWitness(min(remaining, dialTimeout))
-	req.connectionReset = wasReset(err)
+	req.connectError = err
 	if err != nil {
 		s.log.Info("not connected", field("address", s.upstreamPool.Address()), field("request", req.id), field("error", err))
 	}
