Disturb what nodes read of the store before changes in the fault soak

Cause: the users' list of what was not tried names cuts of the watches of some nodes, cuts beside restarts, a slow store and several data centres. In the soak any fault excuses late changes at all nodes for as long as it lasts and 3 s more, so that a reader that is lost hides what the others do. Change: the scenario reads. In each of seven rounds one node of each data centre, or two of one, is killed, stopped, frozen, cut off from the store, loses its answers, reads slowly or is refused, or all reads are slow; in some rounds the reads of all nodes or of a third are cut in series. A table and an upstream that leaves follow within 3 s and are due 2 s later for requests through other nodes.

--- a/harness/faults/checks.go
+++ b/harness/faults/checks.go
@@ -71,9 +71,13 @@
 // mayDelayChanges returns whether a change that the store acknowledged at a time may not be in
 // force yet for a request that was sent at another time and reached an upstream at a third: a fault
 // of a node or a connection has effect until faultEffectTime after its end, and an outage of the
-// store on all changes until faultEffectTime after it.
-func (h *history) mayDelayChanges(acknowledged, sentAt, arrivedAt time.Duration) bool {
+// store on all changes until faultEffectTime after it. nodes are those that handled the request;
+// with none, local faults at all nodes count.
+func (h *history) mayDelayChanges(acknowledged, sentAt, arrivedAt time.Duration, nodes ...int) bool {
 	return slices.ContainsFunc(h.faults, func(f fault) bool {
+		if f.local && len(nodes) > 0 && !slices.Contains(nodes, f.instance) {
+			return false
+		}
 		end := f.to
 		if end == 0 {
 			end = arrivedAt
@@ -166,7 +170,7 @@
 		r := h.requests[a.id]
 		for _, d := range h.drains {
 			duringDrain := r != nil && d.upstream == a.upstream && a.arrivedAt > d.from+maxDrainDelay && (d.to == 0 || a.arrivedAt < d.to)
-			if duringDrain && !h.mayDelayChanges(d.from, r.sentAt, a.arrivedAt) {
+			if duringDrain && !h.mayDelayChanges(d.from, r.sentAt, a.arrivedAt, nodesOf(r, a)...) {
 				violations = append(violations, fmt.Sprintf("%s reached %s %v after the drain started", a.id, a.upstream, a.arrivedAt-d.from))
 			}
 		}
@@ -218,7 +222,7 @@
 func findLateTables(h *history) (violations []string) {
 	for _, r := range h.versionedRequests() {
 		due := h.publishedAt[r.routeVersion] + maxTableDelay
-		if r.status == http.StatusNotFound && r.sentAt > due && !h.mayDelayChanges(h.publishedAt[r.routeVersion], r.sentAt, r.sentAt) && !h.recentlyRestarted(r.node, r.sentAt) {
+		if r.status == http.StatusNotFound && r.sentAt > due && !h.mayDelayChanges(h.publishedAt[r.routeVersion], r.sentAt, r.sentAt, r.node) && !h.recentlyRestarted(r.node, r.sentAt) {
 			violations = append(violations, fmt.Sprintf("%s at node %d: table version %d not used %v after its publication",
 				r.id, r.node, r.routeVersion, r.sentAt-h.publishedAt[r.routeVersion]))
 		}
@@ -317,12 +321,22 @@
 // upstream that it reached, may have delayed it. For calls of upstreams that is any fault.
 func (h *history) delayedOnTheWay(r *request, a arrival) bool {
 	from := r.sentAt - faultEffectTime
-	if r.node < 0 {
+	nodes := nodesOf(r, a)
+	if len(nodes) == 0 {
 		return h.hasUnplannedFault(from, a.arrivedAt, anyInstance)
 	}
+	return slices.ContainsFunc(nodes, func(node int) bool { return h.nodeHadFault(from, a.arrivedAt, node) })
+}
+
+// nodesOf returns the nodes that handled a request before it reached an upstream: the one that the
+// caller used and the one beside the upstream. It returns none for calls of upstreams, as the
+// first is not known.
+func nodesOf(r *request, a arrival) []int {
 	var beside int
-	_, err := fmt.Sscanf(a.upstream, upstreamIDFormat, &beside)
-	return err != nil || h.nodeHadFault(from, a.arrivedAt, r.node) || h.nodeHadFault(from, a.arrivedAt, beside)
+	if _, err := fmt.Sscanf(a.upstream, upstreamIDFormat, &beside); err != nil || r.node < 0 {
+		return nil
+	}
+	return []int{r.node, beside}
 }
 
 // findMissedCancellations finds requests that reached an upstream more than
--- a/harness/faults/history.go
+++ b/harness/faults/history.go
@@ -71,9 +71,9 @@
 	instance int
 	from, to time.Duration
 	// planned tells that the fault is an ordinary operation, such as a graceful stop,
-	// outage that it concerns the answers of the store, and restarts that the node runs as a
-	// new process afterwards.
-	planned, outage, restarts bool
+	// outage that it concerns the answers of the store, local that it delays what is in force at
+	// its own node alone, and restarts that the node runs as a new process afterwards.
+	planned, outage, local, restarts bool
 }
 
 // newHistory returns an empty history that starts now.
--- a/harness/faults/instance.go
+++ b/harness/faults/instance.go
@@ -116,8 +116,11 @@
 // upstreamWorkTime is the processing time of a request in an upstream.
 const upstreamWorkTime = 15 * time.Millisecond
 
-// dataCentre returns the data centre of the instance; they alternate between two.
-func (n *instance) dataCentre() string { return []string{"a", "b"}[n.index%2] }
+// dataCentres are those of the instances, which alternate between them.
+var dataCentres = []string{"a", "b"}
+
+// dataCentre returns the data centre of the instance.
+func (n *instance) dataCentre() string { return dataCentres[n.index%len(dataCentres)] }
 
 // settingsPath returns the path of the node's settings file.
 func (n *instance) settingsPath() string {
--- a/harness/faults/run.go
+++ b/harness/faults/run.go
@@ -211,7 +211,7 @@
 	for _, s := range schedule {
 		faults.Go(func() {
 			time.Sleep(time.Until(start.Add(s.startAt)))
-			f := fault{kind: s.kind.name, instance: s.instance, planned: s.kind.planned, outage: s.kind.outage, restarts: s.kind.restarts}
+			f := fault{kind: s.kind.name, instance: s.instance, planned: s.kind.planned, outage: s.kind.outage, local: s.kind.local, restarts: s.kind.restarts}
 			if s.kind.global {
 				globalFault.Lock()
 				defer globalFault.Unlock()
--- a/harness/faults/scenario.go
+++ b/harness/faults/scenario.go
@@ -32,11 +32,14 @@
 	// StopScenario stops nodes in series, as planned work, beside callers that send requests
 	// without waiting for the answers before, and some whose bodies end late.
 	StopScenario Scenario = "stops"
+	// ReadScenario disturbs two nodes or their reads of the store, or slows all reads, and in some
+	// rounds cuts reads in series. A table and an upstream that leaves follow.
+	ReadScenario Scenario = "reads"
 )
 
 // Scenarios returns all scenarios.
 func Scenarios() []Scenario {
-	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario, SilenceScenario, StopScenario}
+	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario, SilenceScenario, StopScenario, ReadScenario}
 }
 
 const (
@@ -71,6 +74,9 @@
 	if o.Scenario == SilenceScenario {
 		return planSilence(random, o.Nodes)
 	}
+	if o.Scenario == ReadScenario {
+		return planReads(random, o.Nodes)
+	}
 	if o.Scenario == StopScenario {
 		return planStops(random, o.Nodes)
 	}
--- a/harness/faults/schedule.go
+++ b/harness/faults/schedule.go
@@ -26,6 +26,8 @@
 	// outage tells that the store does not answer all nodes as it should, which delays what
 	// is in force for longer than faults of nodes and connections do.
 	outage bool
+	// local faults delay what is in force at their own node alone.
+	local bool
 	// restarts tells that the node runs as a new process afterwards.
 	restarts bool
 	// inject starts the fault and returns the function that ends it.
