Let three nodes of each data centre read the store

Cause: with two readers the loss of one goes unnoticed, while the deployments tolerate the loss of two instances. The others learn only 2.1 s after the last answer that nobody reads. Change: readersPerDataCentre is 3. Reads of the store cost half as much again. Tests: a follower is now asked to try three nodes, one fixture waits until no outage is left (its other node was a follower before), the fleet of the odd entries has six nodes of which three read, and the test of cut watches waits for three watches. TestTwoReadersPerDataCentre is TestReadersPerDataCentre.

--- a/core/mesh/catchup_test.go
+++ b/core/mesh/catchup_test.go
@@ -1,13 +1,14 @@
 package mesh
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shallotspool/shallotspool/core/route"
 )
 
-// behindFleet returns a node that follows two readers, which both have newer state, and the
+// behindFleet returns a node that follows the readers, which all have newer state, and the
 // instances of these.
 func behindFleet(t *testing.T) (f *readerFleet, follower *Node, readers []string) {
 	f = newReaderFleet(t)
@@ -35,17 +36,16 @@
 // TestFollowerTurnsToOthersIfStateCannotBeFetched guards against a node that asks one other for
 // ever for a state that it cannot use, though a third node or the store could give it.
 func TestFollowerTurnsToOthersIfStateCannotBeFetched(t *testing.T) {
-	f, n, _ := behindFleet(t)
-	first, ok := n.NewerPeer(f.now)
-	if !ok {
-		t.Fatal("no node with newer state is known")
-	}
-	n.StateFetchFailed(f.now, first)
-	second, ok := n.NewerPeer(f.now)
-	if !ok || second == first {
-		t.Errorf("%q is asked after %q failed, want another node", second, first)
+	f, n, readers := behindFleet(t)
+	var asked []string
+	for range readers {
+		next, ok := n.NewerPeer(f.now)
+		if !ok || slices.Contains(asked, next) {
+			t.Fatalf("%q is asked after %q failed, want another node", next, asked)
+		}
+		n.StateFetchFailed(f.now, next)
+		asked = append(asked, next)
 	}
-	n.StateFetchFailed(f.now, second)
 	if _, ok := n.NewerPeer(f.now); ok || !n.ShouldFollow(f.now) {
 		t.Errorf("a node is asked again at once, or the store is read at once")
 	}
@@ -57,7 +57,7 @@
 		t.Errorf("failing for %v, want %v", got, catchUpPatience)
 	}
 	// A failure of the past does not keep a node from following.
-	n.ApplyState(later, f.node(second).StateSince(later, n.StoreVersion()))
+	n.ApplyState(later, f.node(asked[0]).StateSince(later, n.StoreVersion()))
 	if !n.ShouldFollow(later) || n.CatchUpFailingFor(later+time.Second) != 0 {
 		t.Error("a node that has caught up reads the store")
 	}
--- a/core/mesh/doc.go
+++ b/core/mesh/doc.go
@@ -61,7 +61,7 @@
 //
 // # Store state
 //
-// In each data centre the first two nodes in a fixed order that are in touch with the
+// In each data centre the first three nodes in a fixed order that are in touch with the
 // store read it; the others follow. A follower, or a node that the store does not answer,
 // looks in the heartbeats for a newer table version or position, or for another digest at
 // the first reader. A reader does so for a newer table only. The store may be restored from
--- a/core/mesh/drain_test.go
+++ b/core/mesh/drain_test.go
@@ -28,6 +28,8 @@
 	cutAt []time.Duration
 	// silentAt is when all connections to the store that were open then went silent for good.
 	silentAt time.Duration
+	// storeLost are the nodes that the store does not answer.
+	storeLost []*exchangeMember
 	// removedAt is when the entry removed was removed, appliedAt when each node applied that.
 	removed   string
 	removedAt time.Duration
@@ -118,7 +120,7 @@
 			r.connectedAt = f.now
 		}
 	}
-	if f.silentAt > 0 && r.connectedAt <= f.silentAt && f.now >= f.silentAt {
+	if slices.Contains(f.storeLost, m) || f.silentAt > 0 && r.connectedAt <= f.silentAt && f.now >= f.silentAt {
 		f.waitInVain(m, r, now)
 		return
 	}
@@ -294,6 +296,44 @@
 	}
 }
 
+// TestRemovalIsInForceAfterTwoNodesLoseStore guards against requests to an upstream that left, because
+// all nodes of a data centre that read the store lost it at one moment, and the others noticed it
+// later than the bound.
+func TestRemovalIsInForceAfterTwoNodesLoseStore(t *testing.T) {
+	sizes := [][2]int{{5, 1}, {7, 1}, {12, 3}}
+	if !testing.Short() {
+		sizes = append(sizes, [2]int{84, 6})
+	}
+	for _, size := range sizes {
+		for seed := range uint64(4) {
+			for moment := time.Duration(0); moment < WatchTime; moment += 150 * time.Millisecond {
+				if size[0] > 12 && (seed > 0 || moment > 0) {
+					continue
+				}
+				f := newDrainFleet(t, size[0], size[1], seed)
+				f.run(6*time.Second+time.Duration(f.random.Int64N(int64(WatchTime))), f.step)
+				lost := f.loseStore(2)
+				f.run(moment, f.step)
+				f.remove()
+				f.run(4*time.Second, f.step)
+				f.expectInForceBesides(lost, fmt.Sprintf("%d nodes, seed %d, removal %v after the loss", size[0], seed, moment))
+			}
+		}
+	}
+}
+
+// loseStore cuts a number of nodes of the last data centre that read the store off from it, and
+// returns them.
+func (f *drainFleet) loseStore(count int) []*exchangeMember {
+	last := f.members[len(f.members)-1]
+	for _, m := range f.members {
+		if len(f.storeLost) < count && m.dataCentre == last.dataCentre && m.node.readsStore(f.clock(m)) {
+			f.storeLost = append(f.storeLost, m)
+		}
+	}
+	return f.storeLost
+}
+
 // expectInForceBesides checks that all nodes but some applied the removal in time.
 func (f *drainFleet) expectInForceBesides(some []*exchangeMember, name string) {
 	f.t.Helper()
--- a/core/mesh/readers.go
+++ b/core/mesh/readers.go
@@ -11,8 +11,8 @@
 const (
 	// readersPerDataCentre is the number of nodes per data centre that read the store.
 	// Reads cost money, and a deployment can grow beyond what the store can answer.
-	// With two readers the loss of one goes unnoticed.
-	readersPerDataCentre = 2
+	// With three readers the loss of two goes unnoticed.
+	readersPerDataCentre = 3
 	// storeTimeout is how long after an answer of the store a node counts as in touch
 	// with it: the longest time of one watch and the pause before it, and a margin.
 	storeTimeout = WatchTime + WatchSlack + 2*BatchDelay
--- a/core/mesh/readers_test.go
+++ b/core/mesh/readers_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -104,9 +105,9 @@
 	return count
 }
 
-// TestTwoReadersPerDataCentre checks that two nodes of a data centre read the store,
+// TestReadersPerDataCentre checks that some nodes of a data centre read the store,
 // and that the changes they read reach the others within one heartbeat interval.
-func TestTwoReadersPerDataCentre(t *testing.T) {
+func TestReadersPerDataCentre(t *testing.T) {
 	f := newReaderFleet(t)
 	f.advance(int(registry.ReturnGracePeriod/HeartbeatInterval) + 2)
 	if got := len(f.readers()); got != readersPerDataCentre {
@@ -133,7 +134,7 @@
 	first := f.readers()[0]
 	f.storeCutOff[first] = true
 	f.advance(int(storeTimeout/HeartbeatInterval) + 3)
-	if got := f.readers(); len(got) != readersPerDataCentre || got[0] == first || got[1] == first {
+	if got := f.readers(); len(got) != readersPerDataCentre || slices.Contains(got, first) {
 		t.Errorf("%d readers after one lost the store, want %d others", len(got), readersPerDataCentre)
 	}
 	delete(f.storeCutOff, first)
@@ -232,7 +233,7 @@
 // connection and that goes on with upstreams which, as other nodes know, have left.
 func TestReaderTakesNewerRegistrationsOfPeer(t *testing.T) {
 	f := newReaderFleet(t)
-	f.advance(5)
+	f.advance(20) // no outage is left
 	reader, id := f.readers()[0], f.nodes[0].Registry().ServiceUpstreams("b")[0].ID
 	other := f.nodes[0]
 	if other == reader {
--- a/node/cmd/shallotd/cut_watch_test.go
+++ b/node/cmd/shallotd/cut_watch_test.go
@@ -35,11 +35,11 @@
 	for i := range leavers {
 		id := fmt.Sprintf("i-leaver-%d", i)
 		f.eventually(id+" is known", func() bool { return everywhere("upstream registered", id) })
-		f.eventually("both readers watch", func() bool { return f.store.WaitingWatches() == 2 })
+		f.eventually("all readers watch", func() bool { return f.store.WaitingWatches() == fleetReaders })
 		// The removal comes before, or after, the readers watch again.
 		f.store.CutWatches()
 		if i%2 == 1 {
-			f.eventually("both readers watch", func() bool { return f.store.WaitingWatches() == 2 })
+			f.eventually("all readers watch", func() bool { return f.store.WaitingWatches() == fleetReaders })
 		}
 		f.store.Remove(platform.RegistrationPrefix + id)
 		f.eventually(id+" is removed", func() bool { return everywhere("upstream removed", id) })
--- a/node/cmd/shallotd/odd_entry_test.go
+++ b/node/cmd/shallotd/odd_entry_test.go
@@ -17,9 +17,12 @@
 	"github.com/shallotspool/shallotspool/platform/standin"
 )
 
-// fleetSize is the number of nodes of a storeFleet. Two of them read the store, the others
-// follow these.
-const fleetSize = 5
+// fleetSize is the number of nodes of a storeFleet, and fleetReaders of those that read the store.
+// The others follow these.
+const (
+	fleetSize    = 6
+	fleetReaders = 3
+)
 
 // storeFleet is a data centre of sidecars that share a stand-in of the platform's store.
 type storeFleet struct {
@@ -29,7 +32,7 @@
 	ports [5]int
 }
 
-// newStoreFleet starts the nodes and waits until all but two follow the others.
+// newStoreFleet starts the nodes and waits until all others follow the readers.
 func newStoreFleet(t *testing.T) *storeFleet {
 	s, err := standin.New()
 	if err != nil {
@@ -56,13 +59,13 @@
 		}
 		t.Cleanup(node.Abort)
 	}
-	f.eventually("two nodes read the store, the others follow", func() bool {
+	f.eventually("some nodes read the store, the others follow", func() bool {
 		following := 0
 		for _, log := range f.logs {
 			text := log.String()
 			following += strings.Count(text, "store left to other nodes") - strings.Count(text, "store read again")
 		}
-		return following == fleetSize-2
+		return following == fleetSize-fleetReaders
 	})
 	return f
 }
