Take no response with an invalid status line for an answer

A control byte in the reason phrase and a 101 that nobody asked for were passed on. The daemon took an upstream polled with status 000 for healthy.

Cause: fasthttp accepts any three digits as a status, keeps it as 0, and gives out 0 as 200. Nothing checked the status line before it.

Change: package core/response reads the responses of a connection and passes a head on once the whole of it is sound; the pool, through which upstreams, other nodes and the daemon's platform are read, reads all connections with it. A malformed answer ends as a lost one. The connection is not used again, also where malformed bytes follow a sound answer. The log line "exchange failed" says what was wrong, with at most 64 bytes of the head. The framing (length, chunks, until close) is checked too, as a reader that disagrees with the next one on it cannot tell where the next head begins: a length together with an encoding, and an encoding in HTTP/1.0, are refused.

--- /dev/null
+++ b/core/response/head.go
@@ -0,0 +1,204 @@
+package response
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+)
+
+// The parts that a MalformedError names.
+const (
+	statusLinePart = "status line"
+	headPart       = "head"
+	chunkSizePart  = "chunk size"
+	chunkEndPart   = "end of chunk"
+	trailerPart    = "trailer"
+)
+
+var (
+	protocolPrefix = []byte("HTTP/1.")
+	lineEnd        = []byte("\r\n")
+)
+
+const (
+	statusDigits  = 3
+	minStatus     = 100
+	noContent     = 204
+	notModified   = 304
+	switching     = 101
+	minFinal      = 200
+	maxTextBytes  = 64
+	maxSizeDigits = 16
+)
+
+// MalformedError says what is malformed in a response.
+type MalformedError struct {
+	// Part is the part of the response, Detail what is wrong with it.
+	Part, Detail string
+	// Text is the beginning of the malformed text, at most 64 bytes. It holds no value of a field.
+	Text []byte
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	text := "malformed response: " + e.Part + " " + e.Detail
+	if len(e.Text) > 0 {
+		text += fmt.Sprintf(": %q", e.Text)
+	}
+	return text
+}
+
+func malformed(part, detail string, text []byte) error {
+	return &MalformedError{Part: part, Detail: detail, Text: bytes.Clone(text[:min(len(text), maxTextBytes)])}
+}
+
+// framing says where a response ends (RFC 9112, section 6.3).
+type framing struct {
+	status int
+	http11 bool
+	// hasLength means that length is set.
+	hasLength, chunked bool
+	length             uint64
+}
+
+// parseStatusLine checks a status line, of which the reason phrase and the blank before it may
+// be missing.
+func parseStatusLine(line []byte) (f framing, err error) {
+	fail := func(detail string) (framing, error) { return f, malformed(statusLinePart, detail, line) }
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	switch string(version) {
+	case "HTTP/1.1":
+		f.http11 = true
+	case "HTTP/1.0":
+	default:
+		return fail("has a version that is not supported")
+	}
+	code, reason, _ := bytes.Cut(rest, []byte{' '})
+	number, ok := parseDecimal(code, statusDigits)
+	if !ok || len(code) != statusDigits || number < minStatus {
+		return fail("has a status that is not 100 to 999")
+	}
+	if invalidValueByte(reason) >= 0 {
+		return fail("has a control byte in the reason phrase")
+	}
+	f.status = int(number)
+	return f, nil
+}
+
+// add adds a field of the head.
+func (f *framing) add(name, value []byte) error {
+	switch {
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		return f.addLength(name, value)
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return f.addEncoding(name, value)
+	}
+	return nil
+}
+
+func (f *framing) addLength(name, value []byte) error {
+	const maxLengthDigits = 19
+	length, ok := parseDecimal(value, maxLengthDigits)
+	switch {
+	case f.hasLength:
+		return malformed(headPart, "repeats a field", name)
+	case f.chunked:
+		return malformed(headPart, "states a length and an encoding", name)
+	case !ok:
+		return malformed(headPart, "has a length that is not a decimal number", name)
+	}
+	f.hasLength, f.length = true, length
+	return nil
+}
+
+func (f *framing) addEncoding(name, value []byte) error {
+	switch {
+	case f.chunked:
+		return malformed(headPart, "repeats a field", name)
+	case f.hasLength:
+		return malformed(headPart, "states a length and an encoding", name)
+	case !f.http11:
+		return malformed(headPart, "states an encoding, which HTTP/1.0 does not have", name)
+	case !bytes.EqualFold(value, []byte("chunked")):
+		return malformed(headPart, "states an encoding that is not supported", name)
+	}
+	f.chunked = true
+	return nil
+}
+
+// next returns what follows the head, and the length of a body of known length.
+func (f *framing) next(toHead, allowUpgrade bool) (state, uint64, error) {
+	switch {
+	case f.status == switching && !allowUpgrade:
+		return beforeHead, 0, malformed(statusLinePart, "has status 101, which was not requested", nil)
+	case f.status == switching:
+		return toEnd, 0, nil
+	case f.status < minFinal, f.status == noContent, f.status == notModified, toHead:
+		return beforeHead, 0, nil
+	case f.chunked:
+		return beforeChunk, 0, nil
+	case !f.hasLength:
+		return toEnd, 0, nil
+	case f.length == 0:
+		return beforeHead, 0, nil
+	}
+	return inBody, f.length, nil
+}
+
+// parseField splits a field line of part, which is not empty.
+func parseField(part string, line []byte) (name, value []byte, err error) {
+	name, value, found := bytes.Cut(line, []byte{':'})
+	if !found {
+		return nil, nil, malformed(part, "has a field line without a colon", nil)
+	}
+	return bytes.TrimRight(name, " \t"), bytes.Trim(value, " \t"), nil
+}
+
+// invalidValueByte returns the position of the first byte that must not be part of a value (RFC 9110,
+// section 5.5), or -1.
+func invalidValueByte(value []byte) int {
+	for i, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return i
+		}
+	}
+	return -1
+}
+
+// parseDecimal parses 1 to maxDigits decimal digits.
+func parseDecimal(text []byte, maxDigits int) (n uint64, ok bool) {
+	if len(text) == 0 || len(text) > maxDigits {
+		return 0, false
+	}
+	for _, c := range text {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseUint(string(text), 10, 63)
+	return n, err == nil
+}
+
+// parseChunkSize checks the line before a chunk and returns the size of the chunk. Extensions
+// are ignored (RFC 9112, section 7.1).
+func parseChunkSize(line []byte) (uint64, error) {
+	digits, extensions, _ := bytes.Cut(line, []byte{';'})
+	digits = bytes.TrimRight(digits, " \t")
+	if len(digits) > maxSizeDigits || invalidValueByte(extensions) >= 0 {
+		return 0, malformed(chunkSizePart, "is not valid", line)
+	}
+	for _, c := range digits {
+		if !isHexDigit(c) {
+			return 0, malformed(chunkSizePart, "is not a hexadecimal number", line)
+		}
+	}
+	size, err := strconv.ParseUint(string(digits), 16, 63)
+	if err != nil {
+		return 0, malformed(chunkSizePart, "is not a hexadecimal number", line)
+	}
+	return size, nil
+}
+
+func isHexDigit(c byte) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F'
+}
--- a/node/daemon/faults_test.go
+++ b/node/daemon/faults_test.go
@@ -31,6 +31,9 @@
 	"negative length": "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nhalf",
 	"two lengths":     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nhalf",
 	"both framings":   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\nhalf",
+	"status 000":      "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nhalf",
+	"bad reason":      "HTTP/1.1 200 O\x01K\r\nContent-Length: 4\r\n\r\nhalf",
+	"unasked upgrade": "HTTP/1.1 101 Switching Protocols\r\n\r\nhalf",
 	"half after 100":  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
 }
 
--- a/node/internal/attempt/executor.go
+++ b/node/internal/attempt/executor.go
@@ -170,7 +170,7 @@
 // releaseConn returns the connection to the pool, or closes it if the response
 // does not allow it to be reused.
 func (e *Executor) releaseConn(p *pool.Pool, conn *pool.Conn, resp *fasthttp.Response) {
-	if resp.ConnectionClose() || resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
+	if resp.ConnectionClose() {
 		p.Discard(conn)
 		return
 	}
--- a/node/internal/platform/upstream_poll_test.go
+++ b/node/internal/platform/upstream_poll_test.go
@@ -1,13 +1,16 @@
 package platform
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"testing"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/node/internal/pool"
+	"github.com/shallotspool/shallotspool/node/internal/rawserver"
 )
 
 // TestUpstreamPolling checks that health and load responses are read and that an
@@ -47,3 +50,24 @@
 		}
 	}
 }
+
+// TestMalformedHealthResponseIsUnhealthy guards against an upstream that counts as healthy because of an answer
+// with status 000.
+func TestMalformedHealthResponseIsUnhealthy(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n"} {
+		address := rawserver.Serve(t, func(conn net.Conn) {
+			defer conn.Close()
+			var req fasthttp.Request
+			_ = req.Read(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, head+"Content-Length: 16\r\n\r\n{\"in_flight\":12}")
+		})
+		p := pool.New(pool.Config{Address: address, MaxConnections: 1})
+		if _, ok := pollEndpoint(context.Background(), p, "/health"); ok {
+			t.Errorf("an upstream that answers with %q counts as healthy", head)
+		}
+		if load, ok := pollLoad(context.Background(), p, "/load"); ok {
+			t.Errorf("got load %+v of an answer with %q", load, head)
+		}
+		p.Close()
+	}
+}
--- a/node/internal/pool/conn.go
+++ b/node/internal/pool/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/shallotspool/shallotspool/core/response"
 )
 
 // MaxHeaderBytes is the size of the read buffer of a connection, into which a response header must
@@ -30,34 +32,33 @@
 	// answered is true once a response has been read from the connection.
 	answered bool
 
+	// responses checks what Reader gets.
+	responses    *response.Reader
 	bytesWritten atomic.Int64
-	// readError is the error of the last read from the socket.
-	readError error
-	openedAt  time.Time
-	idleSince time.Time
+	openedAt     time.Time
+	idleSince    time.Time
 }
 
 func newConn(raw net.Conn, extraHeaderBytes int) *Conn {
 	c := &Conn{Conn: raw, openedAt: time.Now(), idleSince: time.Now()}
-	c.Reader = bufio.NewReaderSize(c, MaxHeaderBytes+extraHeaderBytes)
+	maxHeaderBytes := MaxHeaderBytes + extraHeaderBytes
+	c.responses = response.NewReader(raw, response.Options{MaxHeadBytes: maxHeaderBytes})
+	c.Reader = bufio.NewReaderSize(c, maxHeaderBytes)
 	c.Writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
 }
 
-// Read reads from the socket and keeps the error.
-func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.readError = err
-	return n, err
-}
+// Read reads well-formed responses from the socket; see response.Reader.
+func (c *Conn) Read(b []byte) (int, error) { return c.responses.Read(b) }
 
-// socketError returns the error of the socket if that is why reading a response failed with
-// err. fasthttp replaces all errors at the first byte of a response.
+// socketError returns the error of Read if that is why reading a response failed with err.
+// fasthttp replaces all errors at the first byte of a response.
 func (c *Conn) socketError(err error) error {
-	if err == nil || c.readError == nil || errors.Is(c.readError, io.EOF) {
+	readError := c.responses.Err()
+	if err == nil || readError == nil || errors.Is(readError, io.EOF) {
 		return err
 	}
-	return errors.Wrap(c.readError, "read response")
+	return errors.Wrap(readError, "read response")
 }
 
 // Write writes to the socket and counts the bytes written.
--- a/node/internal/pool/exchange.go
+++ b/node/internal/pool/exchange.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"bytes"
 	"io"
 	"time"
 
@@ -24,8 +23,6 @@
 	// ErrTooManyUnmatched means that too many responses to other requests
 	// precede the one to this request, or that one of them ends the connection.
 	ErrTooManyUnmatched = errors.New("too many responses to other requests")
-	// ErrNotHTTP1 means that the response is not HTTP/1.x.
-	ErrNotHTTP1 = errors.New("response is not HTTP/1.x")
 )
 
 // maxUnmatched is the number of responses read in search of the one that
@@ -63,9 +60,10 @@
 	return c.ExchangeWithOptions(req, resp, ExchangeOptions{MaxBodyBytes: maxBody})
 }
 
-// ExchangeWithOptions is Exchange with options.
+// ExchangeWithOptions is Exchange with options. A malformed response is a *response.MalformedError.
 func (c *Conn) ExchangeWithOptions(req *fasthttp.Request, resp *fasthttp.Response, opts ExchangeOptions) error {
 	resp.SkipBody = req.Header.IsHead()
+	c.responses.ExpectResponse(resp.SkipBody)
 	if len(req.Body()) <= asyncSendBytes {
 		if err := c.send(req); err != nil {
 			return err
@@ -173,11 +171,7 @@
 // chunked body.
 const chunkedLength = -1
 
-// protocolPrefix is the start of every accepted status line.
-var protocolPrefix = []byte("HTTP/1.")
-
 // readFinalHeader reads response headers up to the first that is not interim.
-// Status 101 is final: no other response follows it.
 func readFinalHeader(c *Conn, resp *fasthttp.Response) error {
 	for range maxInterim {
 		if err := resp.Header.Read(c.Reader); err != nil {
@@ -186,11 +180,7 @@
 			}
 			return err
 		}
-		if !bytes.HasPrefix(resp.Header.Protocol(), protocolPrefix) {
-			return ErrNotHTTP1
-		}
-		status := resp.StatusCode()
-		if status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
+		if resp.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
 	}
--- a/node/internal/pool/pool.go
+++ b/node/internal/pool/pool.go
@@ -195,7 +195,7 @@
 // pool. It does not reset the connection's deadline: whoever gets the
 // connection next sets a new one.
 func (p *Pool) Put(c *Conn) {
-	if c.NotReusable || c.Reader.Buffered() > 0 {
+	if c.NotReusable || c.Reader.Buffered() > 0 || !c.responses.Idle() {
 		p.Discard(c)
 		return
 	}
