Let shallotctl refuse malformed answers

Cause: the client reads answers with fasthttp alone.

Evidence, on: TestMalformedStatusResponseIsRejected got a status and no error for 000, a blank in a name, in an interim head and in a trailer.

Change: the client reads answers through core/response, on one connection a request.

--- a/ctl/internal/client/client.go
+++ b/ctl/internal/client/client.go
@@ -3,14 +3,17 @@
 package client
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/iter"
 	"github.com/valyala/fasthttp"
 
+	"github.com/shallotspool/shallotspool/core/response"
 	"github.com/shallotspool/shallotspool/core/status"
 )
 
@@ -18,6 +21,8 @@
 	statusPath = "/status"
 	// maxStatusBytes is the maximum size of a status response body.
 	maxStatusBytes = 4 << 20
+	// maxHeadBytes is the maximum size of the head of a response.
+	maxHeadBytes = 4 << 10
 	// maxConcurrent is the maximum number of concurrent requests.
 	maxConcurrent = 64
 )
@@ -26,18 +31,10 @@
 var ErrUnreachable = errors.New("node status unavailable")
 
 // Client fetches the status of nodes. It is safe for concurrent use.
-type Client struct {
-	http    fasthttp.Client
-	timeout time.Duration
-}
+type Client struct{ timeout time.Duration }
 
 // New returns a Client that waits up to timeout for the response of each node.
-func New(timeout time.Duration) *Client {
-	return &Client{
-		http:    fasthttp.Client{MaxResponseBodySize: maxStatusBytes, NoDefaultUserAgentHeader: true},
-		timeout: timeout,
-	}
-}
+func New(timeout time.Duration) *Client { return &Client{timeout: timeout} }
 
 // Result is the result of one status request. Status is nil if Err is set.
 type Result struct {
@@ -61,19 +58,45 @@
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "node %s: request status", address), ErrUnreachable)
 	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + statusPath)
-	if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + statusPath)
+	req.SetConnectionClose()
+	if err := c.exchange(address, req, resp); err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "node %s: request status", address), ErrUnreachable)
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return nil, errors.Mark(errors.Newf("node %s: unexpected HTTP status %d", address, response.StatusCode()), ErrUnreachable)
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Mark(errors.Newf("node %s: unexpected HTTP status %d", address, resp.StatusCode()), ErrUnreachable)
 	}
 	var s status.Node
-	if err := json.Unmarshal(response.Body(), &s); err != nil {
+	if err := json.Unmarshal(resp.Body(), &s); err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "node %s: decode status", address), ErrUnreachable)
 	}
 	return &s, nil
 }
+
+// exchange sends req on a new connection and reads the response, which must be well-formed.
+func (c *Client) exchange(address string, req *fasthttp.Request, resp *fasthttp.Response) error {
+	end := time.Now().Add(c.timeout)
+	conn, err := net.DialTimeout("tcp", address, c.timeout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(end); err != nil {
+		return err
+	}
+	if _, err := req.WriteTo(conn); err != nil {
+		return err
+	}
+	checked := response.NewReader(conn, response.Options{MaxHeadBytes: maxHeadBytes})
+	if err := resp.ReadLimitBody(bufio.NewReaderSize(checked, maxHeadBytes), maxStatusBytes); err != nil {
+		// fasthttp replaces all errors at the first byte.
+		if checkErr := checked.Err(); checkErr != nil {
+			return checkErr
+		}
+		return err
+	}
+	return nil
+}
