Open no link by a malformed answer

Cause: the WebSocket library reads the answer with the reader of the standard library, which accepts such names.

Evidence, on: TestMalformedUpgradeOpensNoLink saw the link open for "X A: b" and "X-A : b".

Change: connections of links read the answer that opens them through core/response; what follows it is passed on unchecked, as it is no HTTP.

Result: the test passes, five times in series.

--- a/node/internal/link/dial.go
+++ b/node/internal/link/dial.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/websocket"
+
+	"github.com/shallotspool/shallotspool/core/response"
 )
 
 // The bounds of the delay between attempts to open a link.
@@ -49,7 +51,7 @@
 	}
 	dialer := websocket.Dialer{
 		HandshakeTimeout: handshakeTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-		NetDialContext: h.newNetDialer().DialContext,
+		NetDialContext: h.dialChecked,
 	}
 	conn, _, err := dialer.DialContext(ctx, "ws://"+inst.LinkAddress+Path, nil)
 	if err != nil {
@@ -66,6 +68,26 @@
 	return nil
 }
 
+// maxHeadBytes limits the head of the response that opens a link.
+const maxHeadBytes = 4 << 10
+
+// checkedConn is a connection on which the response that opens a link must be well-formed.
+type checkedConn struct {
+	net.Conn
+	responses *response.Reader
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(b []byte) (int, error) { return c.responses.Read(b) }
+
+func (h *Hub) dialChecked(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := h.newNetDialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &checkedConn{raw, response.NewReader(raw, response.Options{MaxHeadBytes: maxHeadBytes, AllowUpgrade: true})}, nil
+}
+
 // newNetDialer returns a dialer that connects from the configured source address.
 func (h *Hub) newNetDialer() *net.Dialer {
 	dialer := &net.Dialer{Timeout: handshakeTimeout}
