Take no field of a trailer for one of the head

What callers would have seen: an answer 200 with its whole body, in whose trailer the field stands by which an upstream says "not run", came to the caller as 503 "not run" (REFUSED; for routes that may not be repeated as well). With another request's ID or a second stamp in the trailer the answer was lost; other fields of a trailer were passed on in the head.

Cause: fasthttp keeps the fields of a trailer, and they come up among those of the head once the Trailer field is removed, and in searches by name.

Evidence, on: TestTrailerIsNoPartOfHead: "was refused, but has run".

Change: the pool reads the trailer apart and drops it (RFC 9110, section 6.5.1: a recipient must not merge it into the head and may discard it).

--- a/node/internal/pool/exchange.go
+++ b/node/internal/pool/exchange.go
@@ -142,11 +142,18 @@
 		return errors.Wrap(err, "read response")
 	}
 	if length == chunkedLength {
-		return errors.Wrap(resp.Header.ReadTrailer(c.Reader), "read response")
+		return errors.Wrap(skipTrailer(c), "read response")
 	}
 	return nil
 }
 
+// skipTrailer reads the trailer after a chunked body. Its fields are none of the head (RFC 9110,
+// section 6.5.1).
+func skipTrailer(c *Conn) error {
+	var trailer fasthttp.ResponseHeader
+	return trailer.ReadTrailer(c.Reader)
+}
+
 // readBody reads the body of resp whole.
 func readBody(c *Conn, resp *fasthttp.Response, opts ExchangeOptions) error {
 	reader := &body.Reader{In: c.Reader, Max: opts.MaxBodyBytes, Lease: opts.Lease, WaitUntil: opts.WaitUntil}
--- a/node/sidecar/malformed_response_test.go
+++ b/node/sidecar/malformed_response_test.go
@@ -146,3 +146,25 @@
 		})
 	}
 }
+
+// TestTrailerIsNoPartOfHead guards against a field of a trailer that is taken for one of the head: a caller was
+// told "not run" of a request that had run, or its answer was lost.
+func TestTrailerIsNoPartOfHead(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep)
+	for _, announced := range []string{"", "Trailer: X-Not-Run, X-Id, X-Stamp, X-Sum\r\n"} {
+		for _, field := range []string{"X-Not-Run: 1", "X-Id: other", "X-Stamp: t", "Shallot-Result: 3 0 busy", "X-Sum: 1"} {
+			f.upstreams[deep].setResponse(func(ctx *fasthttp.RequestCtx) {
+				head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\n%s", ctx.Request.Header.Peek("X-Id"), announced)
+				ctx.HijackSetNoResponse(true)
+				ctx.Hijack(func(conn net.Conn) {
+					_, _ = io.WriteString(conn, head+"Transfer-Encoding: chunked\r\n\r\n5\r\nright\r\n0\r\n"+field+"\r\n\r\n")
+				})
+			})
+			path := "/write/" + strings.ReplaceAll(announced[:min(len(announced), 1)]+field, " ", "-")
+			got := f.requestUntilTaken("POST", path, "id-"+path)
+			if got.status != 200 || got.body != "right" || got.header["X-Sum"] != "" || got.header["X-Stamp"] != "s" {
+				t.Errorf("trailer %q, announced %q: got %+v, want the answer without the trailer", field, announced, got)
+			}
+		}
+	}
+}
