Bound the responses that the daemon reads together

The sidecar bounds their sum already.

Cause: the executor bounds each body alone.

Change: the executor's exchanges share a budget of limits.held_bytes, as those of the sidecar do. A body of stated length waits for its memory until the deadline; a chunked one that finds none fails. Lack of memory says nothing of the upstream and is not taken for a crash.

Responses that slow callers have not read yet are not bounded in sum (docs/design/bodies.md).

--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -128,7 +128,7 @@
 	d.attempts = attempt.New(attempt.Config{
 		Incarnation: self.Incarnation, UpstreamAddress: s.UpstreamAddress.String(),
 		MaxUpstreamConnections: s.MaxUpstreamConnections, MaxPeerConnections: s.MaxPeerConnections,
-		SourceIP: source, MaxBodyBytes: s.MaxBodyBytes, Directory: instances,
+		SourceIP: source, MaxBodyBytes: s.MaxBodyBytes, MaxHeldBodyBytes: s.MaxHeldBodyBytes, Directory: instances,
 		OnConnect: d.metrics.RecordConnectTime, OnFailure: d.recordExchangeFailure,
 	})
 	d.loop = loop.New(engineConfig(s, self), time.Now(), d, d.tasks.Go)
--- a/node/internal/attempt/executor.go
+++ b/node/internal/attempt/executor.go
@@ -15,6 +15,7 @@
 	"github.com/shallotspool/shallotspool/core/engine"
 	"github.com/shallotspool/shallotspool/node/internal/directory"
 	"github.com/shallotspool/shallotspool/node/internal/header"
+	"github.com/shallotspool/shallotspool/node/internal/memory"
 	"github.com/shallotspool/shallotspool/node/internal/pool"
 )
 
@@ -43,7 +44,9 @@
 	SourceIP net.IP
 	// MaxBodyBytes is the maximum size of a response body, in bytes.
 	MaxBodyBytes int
-	Directory    *directory.Directory
+	// MaxHeldBodyBytes is the maximum size of all response bodies that are being read, in bytes.
+	MaxHeldBodyBytes int
+	Directory        *directory.Directory
 	// OnConnect is called with the time it took to open each new connection.
 	OnConnect func(time.Duration)
 	// OnFailure is called for each attempt that failed, unless its target is not in
@@ -58,6 +61,8 @@
 	upstream      *pool.Pool
 	crashDetector crashDetector
 	openAttempts  openAttempts
+	// bodies is the memory of the responses that are being read.
+	bodies *memory.Budget
 
 	mu    sync.Mutex
 	peers map[string]*pool.Pool
@@ -68,7 +73,7 @@
 func New(cfg Config) *Executor {
 	return &Executor{
 		cfg: cfg, peers: map[string]*pool.Pool{},
-		openAttempts: openAttempts{byID: map[engine.AttemptID]*openAttempt{}},
+		openAttempts: openAttempts{byID: map[engine.AttemptID]*openAttempt{}}, bodies: memory.NewBudget(cfg.MaxHeldBodyBytes),
 		upstream: pool.New(pool.Config{
 			Address: cfg.UpstreamAddress, MaxConnections: cfg.MaxUpstreamConnections, OnConnect: cfg.OnConnect,
 		}),
@@ -143,8 +148,11 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	_ = conn.SetDeadline(time.Now().Add(timeout + deadlineGrace))
-	err = conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: e.cfg.MaxBodyBytes, Match: reader.match})
+	end := time.Now().Add(timeout + deadlineGrace)
+	_ = conn.SetDeadline(end)
+	lease := e.bodies.NewLease()
+	defer lease.Release()
+	err = conn.ExchangeWithOptions(req, resp, pool.ExchangeOptions{MaxBodyBytes: e.cfg.MaxBodyBytes, Lease: lease, WaitUntil: end, Match: reader.match})
 	if !attempt.detachConn() {
 		p.Discard(conn)
 		return
@@ -192,9 +200,9 @@
 }
 
 // isConnectionError reports whether err may be a failure of the connection, as
-// opposed to a full pool or a valid HTTP/1.1 response that was rejected.
+// opposed to a full pool, a lack of memory or a valid HTTP/1.1 response that was rejected.
 func isConnectionError(err error) bool {
-	return !errors.IsAny(err, pool.ErrTooLarge, pool.ErrUnknownLength, pool.ErrTooManyInterim, pool.ErrFull, header.ErrMalformedReply)
+	return !errors.IsAny(err, pool.ErrTooLarge, pool.ErrUnknownLength, pool.ErrTooManyInterim, pool.ErrFull, memory.ErrExhausted, header.ErrMalformedReply)
 }
 
 // Prune closes connections that have been idle for too long, and the idle
--- a/node/internal/attempt/late_copy_test.go
+++ b/node/internal/attempt/late_copy_test.go
@@ -52,7 +52,7 @@
 		}
 	})
 	engineEvents := &recorder{}
-	e := New(Config{Incarnation: 7, UpstreamAddress: address, MaxUpstreamConnections: 1, MaxBodyBytes: 100, OnFailure: func(string, error) {}})
+	e := New(Config{Incarnation: 7, UpstreamAddress: address, MaxUpstreamConnections: 1, MaxBodyBytes: 100, MaxHeldBodyBytes: 100, OnFailure: func(string, error) {}})
 	defer e.Close()
 	e.SetEngine(engineEvents)
 	for id := engine.AttemptID(1); id <= 2; id++ {
