Let upstreams of the fault soak send malformed answers

The soak's upstreams ended every second answer within its head for a while. They send other malformed answers in turn now: status 000, a blank in the name of a field, in that of the length and in a trailer.

--- a/harness/faults/odd_input.go
+++ b/harness/faults/odd_input.go
@@ -54,12 +54,27 @@
 	}
 }
 
-// cutHead ends every second answer within its head and reports whether it did.
-func (u *upstream) cutHead(ctx *fasthttp.RequestCtx, id string) bool {
-	if !u.cutsHeads.Load() || u.requestCount.Add(1)%2 != 0 {
+// malformedAnswers are answers that end within the head, or are malformed: the status line and what follows the
+// fields that every answer has.
+var malformedAnswers = [][2]string{
+	{"HTTP/1.1 200 OK", "Content-Le"},
+	{"HTTP/1.1 000 OK", "Content-Length: 6\r\n\r\nbroken"},
+	{"HTTP/1.1 200 OK", "X A: b\r\nContent-Length: 6\r\n\r\nbroken"},
+	{"HTTP/1.1 200 OK", "Content Length: 6\r\n\r\nbroken"},
+	{"HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX A: b\r\n\r\n"},
+}
+
+// malformAnswer makes every second answer one of malformedAnswers and reports whether it did.
+func (u *upstream) malformAnswer(ctx *fasthttp.RequestCtx, id string) bool {
+	if !u.malformsAnswers.Load() {
+		return false
+	}
+	count := int(u.requestCount.Add(1))
+	if count%2 != 0 {
 		return false
 	}
-	_, _ = fmt.Fprintf(ctx.Conn(), "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Le", platform.HeaderRequestID, id, platform.HeaderResponseStamp, u.id)
+	answer := malformedAnswers[count/2%len(malformedAnswers)]
+	_, _ = fmt.Fprintf(ctx.Conn(), "%s\r\n%s: %s\r\n%s: %s\r\n%s", answer[0], platform.HeaderRequestID, id, platform.HeaderResponseStamp, u.id, answer[1])
 	_ = ctx.Conn().Close()
 	return true
 }
--- a/harness/faults/schedule.go
+++ b/harness/faults/schedule.go
@@ -129,9 +129,9 @@
 		n.upstream.repeatsRefusals.Store(true)
 		return func() { n.upstream.repeatsRefusals.Store(false) }
 	}},
-	{name: "upstream_cuts_heads", inject: func(_ *runner, n *instance) func() {
-		n.upstream.cutsHeads.Store(true)
-		return func() { n.upstream.cutsHeads.Store(false) }
+	{name: "upstream_malforms_answers", inject: func(_ *runner, n *instance) func() {
+		n.upstream.malformsAnswers.Store(true)
+		return func() { n.upstream.malformsAnswers.Store(false) }
 	}},
 	{name: "table", global: true, planned: true, inject: func(r *runner, _ *instance) func() {
 		r.publishTable()
--- a/harness/faults/upstream.go
+++ b/harness/faults/upstream.go
@@ -29,8 +29,8 @@
 	slow, shedding atomic.Bool
 	// resetting closes the connection of most runs without an answer; see resetRatio.
 	resetting atomic.Bool
-	// repeatsRefusals and cutsHeads make answers malformed; see odd_input.go.
-	repeatsRefusals, cutsHeads atomic.Bool
+	// repeatsRefusals and malformsAnswers make answers malformed; see odd_input.go.
+	repeatsRefusals, malformsAnswers atomic.Bool
 	// outlivedByListener makes crash leave the proxy listening, as a listener does that
 	// another process holds.
 	outlivedByListener bool
@@ -170,7 +170,7 @@
 		resetConnection(ctx.Conn())
 		return
 	}
-	if u.cutHead(ctx, id) {
+	if u.malformAnswer(ctx, id) {
 		return
 	}
 	u.repeatRefusal(ctx)
