--- a/core/response/head.go
+++ b/core/response/head.go
@@ -20,15 +20,22 @@
 	lineEnd        = []byte("\r\n")
 )
 
+// The statuses that decide what follows a head. minFinal is the lowest that is not interim.
 const (
-	statusDigits  = 3
-	minStatus     = 100
-	noContent     = 204
-	notModified   = 304
-	switching     = 101
-	minFinal      = 200
-	maxTextBytes  = 64
-	maxSizeDigits = 16
+	minStatus          = 100
+	switchingProtocols = 101
+	minFinal           = 200
+	noContent          = 204
+	notModified        = 304
+)
+
+const (
+	statusDigits = 3
+	// maxSizeDigits and maxLengthDigits limit the digits of a chunk size and of a Content-Length.
+	maxSizeDigits   = 16
+	maxLengthDigits = 19
+	// maxTextBytes limits the text that an error quotes.
+	maxTextBytes = 64
 )
 
 // MalformedError says what is malformed in a response.
@@ -97,7 +104,6 @@
 }
 
 func (f *framing) addLength(name, value []byte) error {
-	const maxLengthDigits = 19
 	length, ok := parseDecimal(value, maxLengthDigits)
 	switch {
 	case f.hasLength:
@@ -129,9 +135,9 @@
 // next returns what follows the head, and the length of a body of known length.
 func (f *framing) next(toHead, allowUpgrade bool) (state, uint64, error) {
 	switch {
-	case f.status == switching && !allowUpgrade:
+	case f.status == switchingProtocols && !allowUpgrade:
 		return beforeHead, 0, malformed(statusLinePart, "has status 101, which was not requested", nil)
-	case f.status == switching:
+	case f.status == switchingProtocols:
 		return toEnd, 0, nil
 	case f.status < minFinal, f.status == noContent, f.status == notModified, toHead:
 		return beforeHead, 0, nil
