Report the end of a link before the next one

Cause: the hub registers and unregisters a link under its mutex, but passes the events on after it. The end of a link could be reported after the next one of the same nodes was, so that the node took the open one for closed. Two nodes that dial each other at once end one of two links in this way.

Change: a mutex is held over the change and its event. Actions of the engine take only the other mutex.

--- a/node/internal/link/hub.go
+++ b/node/internal/link/hub.go
@@ -52,6 +52,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// changes is held while the set of open links changes and the event is handled, so that the
+	// events come in the order of the changes. It is taken before mu.
+	changes sync.Mutex
+
 	mu sync.Mutex
 	// links holds the open links by target.
 	links map[string]*link
@@ -195,11 +199,10 @@
 // runLink registers a link, passes its frames to the engine and returns when the
 // link has ended.
 func (h *Hub) runLink(l *link) {
-	if !h.register(l) {
+	if !h.open(l) {
 		_ = l.conn.Close()
 		return
 	}
-	h.cfg.HandleEvent(&engine.LinkChanged{Peer: l.peer, Up: true})
 	h.cfg.Tasks.Go(l.writeLoop)
 	err := l.readLoop(func(f *wire.Frame) {
 		h.cfg.HandleEvent(&engine.FrameReceived{From: l.peer, Frame: *f})
@@ -207,10 +210,28 @@
 	l.startClosing()
 	_ = l.conn.Close()
 	<-l.writerDone
+	h.end(l)
+	h.cfg.OnLinkFailed(l.peer.Target, err)
+}
+
+// open registers l and reports it. It returns false as register does.
+func (h *Hub) open(l *link) bool {
+	h.changes.Lock()
+	defer h.changes.Unlock()
+	if !h.register(l) {
+		return false
+	}
+	h.cfg.HandleEvent(&engine.LinkChanged{Peer: l.peer, Up: true})
+	return true
+}
+
+// end unregisters l, and reports its end unless another link has taken its place.
+func (h *Hub) end(l *link) {
+	h.changes.Lock()
+	defer h.changes.Unlock()
 	if h.unregister(l) {
 		h.cfg.HandleEvent(&engine.LinkChanged{Peer: l.peer, Up: false})
 	}
-	h.cfg.OnLinkFailed(l.peer.Target, err)
 }
 
 // register makes l the link to its peer and closes the existing one. It returns
--- a/node/internal/link/hub_test.go
+++ b/node/internal/link/hub_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fasthttp/websocket"
 	"github.com/valyala/fasthttp"
 
+	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/membership"
 	"github.com/shallotspool/shallotspool/core/wire"
+	"github.com/shallotspool/shallotspool/node/internal/directory"
 	"github.com/shallotspool/shallotspool/node/internal/link"
 	"github.com/shallotspool/shallotspool/node/internal/task"
 )
@@ -41,3 +47,73 @@
 		t.Error("the hub has not closed after 10 s")
 	}
 }
+
+// TestEndOfFormerLinkIsReportedBeforeNewLink guards against the end of a link that is reported after the next link of the
+// same nodes was: the node took an open link for a closed one, sent nothing on it and opened no other.
+func TestEndOfFormerLinkIsReportedBeforeNewLink(t *testing.T) {
+	peer := wire.NodeID{Target: "a-2", Incarnation: 5}
+	instances := directory.New()
+	instances.Replace([]membership.Instance{{Target: peer.Target, PeerAddress: "127.0.0.1:1", LinkAddress: "127.0.0.1:1"}})
+	ending, reported, openAgain := make(chan struct{}), make(chan bool, 10), make(chan struct{})
+	var opened, ended atomic.Int64
+	h := link.NewHub(link.Config{
+		Self: wire.NodeID{Target: "a-1", Incarnation: 1}, Service: "s", DataCentre: "a", MaxLinks: 4, Directory: instances,
+		Tasks: task.NewGroup(func(error) {}), OnLinkFailed: func(string, error) {},
+		HandleEvent: func(e engine.Event) {
+			changed, ok := e.(*engine.LinkChanged)
+			switch {
+			case ok && changed.Up:
+				reported <- true
+				if opened.Add(1) == 2 {
+					close(openAgain)
+				}
+			case ok && ended.Add(1) == 1:
+				close(ending)
+				// Handling the end takes as long as the next link needs, if that can open meanwhile.
+				select {
+				case <-openAgain:
+				case <-time.After(time.Second):
+				}
+				reported <- false
+			}
+		},
+	})
+	defer h.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: h.HandleUpgrade}
+	go func() { _ = server.Serve(ln) }()
+	defer func() { _ = ln.Close() }()
+	first := openLink(t, ln.Addr().String(), peer)
+	if !<-reported {
+		t.Fatal("the first link was reported as ended")
+	}
+	_ = first.Close()
+	<-ending
+	second := openLink(t, ln.Addr().String(), peer)
+	defer func() { _ = second.Close() }()
+	if up := [2]bool{<-reported, <-reported}; up != [2]bool{false, true} {
+		t.Errorf("reported %v, want the end of the first link and then the second one", up)
+	}
+}
+
+// openLink opens a link to the node at address as peer.
+func openLink(t *testing.T, address string, peer wire.NodeID) *websocket.Conn {
+	conn, _, err := websocket.DefaultDialer.Dial("ws://"+address+link.Path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hello, err := wire.Encode(&wire.Frame{Hello: &wire.Hello{Version: wire.ProtocolVersion, Node: peer, Service: "s", DataCentre: "a"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.WriteMessage(websocket.BinaryMessage, hello); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := conn.ReadMessage(); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
