--- a/review/standin-2/interim.go
+++ b/review/standin-2/interim.go
@@ -41,7 +41,7 @@
 			return t.answer(c, q, http.StatusOK, interimAnswer(q.Header.Get("Request-Id"), q.Method))
 		}
 	}
-	r.putConfig([]routeConfig{{"lists.example", "/lists/", "idempotent", "lists", 3000, 2}}, []string{"front", "lists"})
+	r.putConfig([]routeConfig{{host: "lists.example", prefix: "/lists/", kind: "idempotent", service: "lists", timeoutMS: 3000, attempts: 2}}, []string{"front", "lists"})
 	r.startAll()
 
 	var answered, wrong, failed atomic.Int64
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(r *rig, trouble bool) (violations int){
 	"interim-answer": playInterim,
 	"own-503":        playOwn503,
+	"weights":        playWeights,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin-2/own503.go
+++ b/review/standin-2/own503.go
@@ -37,7 +37,7 @@
 		m := r.addMachine(fmt.Sprintf("m-%d", i), fmt.Sprintf("127.43.%d.1", i+1), zones[i/4], service, fmt.Sprintf("i-%d", i), 50)
 		m.target.work = ownWork
 	}
-	r.putConfig([]routeConfig{{"orders.example", "/orders/", "non_idempotent", "orders", 3000, 2}}, []string{"front", "orders"})
+	r.putConfig([]routeConfig{{host: "orders.example", prefix: "/orders/", kind: "non_idempotent", service: "orders", timeoutMS: 3000, attempts: 2}}, []string{"front", "orders"})
 	r.startAll()
 
 	start := time.Now()
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -242,6 +242,26 @@
 type routeConfig struct {
 	host, prefix, kind, service string
 	timeoutMS, attempts         int
+	// split divides the requests among services; service is empty then.
+	split []weighted
+}
+
+// weighted is a service with its weight in a split.
+type weighted struct {
+	service string
+	weight  int
+}
+
+// destination returns the fields of the configuration that say where the route leads.
+func (c routeConfig) destination() string {
+	if len(c.split) == 0 {
+		return fmt.Sprintf(`"service":%q`, c.service)
+	}
+	var parts []string
+	for _, w := range c.split {
+		parts = append(parts, fmt.Sprintf(`{"service":%q,"weight":%d}`, w.service, w.weight))
+	}
+	return `"traffic_split":[` + strings.Join(parts, ",") + `]`
 }
 
 // putConfig writes a configuration to the store.
@@ -260,10 +280,11 @@
 		if i > 0 {
 			b.WriteString(",")
 		}
-		fmt.Fprintf(&b, `{"host":%q,"path_rules":[{"name":"r-%d","prefix":%q,"kind":%q,"timeout_ms":%d,"latency_goal_ms":1000,"priority":1,"service":%q,"max_attempts":%d}]}`,
-			rt.host, i, rt.prefix, rt.kind, rt.timeoutMS, rt.service, rt.attempts)
+		fmt.Fprintf(&b, `{"host":%q,"path_rules":[{"name":"r-%d","prefix":%q,"kind":%q,"timeout_ms":%d,"latency_goal_ms":1000,"priority":1,%s,"max_attempts":%d}]}`,
+			rt.host, i, rt.prefix, rt.kind, rt.timeoutMS, rt.destination(), rt.attempts)
 	}
 	b.WriteString(`]}`)
+	r.record.line("operator writes version %d: %s", r.version, b.String())
 	r.store.put("op/config", []byte(b.String()))
 }
 
