Add review case 9: a route is refused for good after its time-out falls

Nodes refuse a request whose deadline is nearer than half the mean run time of its route, and only runs of the route change that mean. After a slow phase, and a time-out lowered below half of what the runs took, nothing runs any more, though the targets are fast again.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 	"interim-answer": playInterim,
 	"own-503":        playOwn503,
 	"weights":        playWeights,
+	"shorter":        playShorter,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -427,7 +427,10 @@
 			}
 			continue
 		}
-		time.Sleep(t.work)
+		t.mu.Lock()
+		work := t.work
+		t.mu.Unlock()
+		time.Sleep(work)
 		if !t.answer(c, req, 200, t.body(id)) {
 			return
 		}
@@ -469,3 +472,32 @@
 	}
 	return out
 }
+
+// get sends one read on a new connection to the node of m.
+func (r *rig) get(m *machine, path, id string) (status int, err error) {
+	c, err := net.DialTimeout("tcp", m.addr(r.ports.callers), time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(6 * time.Second))
+	r.record.line("client sends GET %s %s to node %s", path, id, m.name)
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: lists.example\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n\r\n", path, id); err != nil {
+		return 0, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	r.record.line("client gets %d for %s", resp.StatusCode, id)
+	return resp.StatusCode, err
+}
+
+// setWork sets how long the target works on each request that begins from now on.
+func (t *target) setWork(work time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.work = work
+}
--- a/review/standin-2/weights.go
+++ b/review/standin-2/weights.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -64,7 +61,7 @@
 			for n := 0; time.Now().Before(end); n++ {
 				time.Sleep(weightsInterval)
 				id, sent := fmt.Sprintf("w%d-%d", k, n), time.Now()
-				status, err := r.read(r.machines[k%len(r.machines)], id)
+				status, err := r.get(r.machines[k%len(r.machines)], "/lists/9", id)
 				runs := r.runsOf(id)
 				if err != nil || status != http.StatusOK || len(runs) != 1 {
 					r.record.line("client gets %d for %s, %v, %d runs", status, id, err, len(runs))
@@ -97,24 +94,3 @@
 	}
 	return 0
 }
-
-// read sends one request on a new connection to the node of m.
-func (r *rig) read(m *machine, id string) (status int, err error) {
-	c, err := net.DialTimeout("tcp", m.addr(r.ports.callers), time.Second)
-	if err != nil {
-		return 0, err
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-	r.record.line("client sends GET %s to node %s", id, m.name)
-	if _, err := fmt.Fprintf(c, "GET /lists/9 HTTP/1.1\r\nHost: lists.example\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n\r\n", id); err != nil {
-		return 0, err
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
-}
