--- a/review/standin-2/header.go
+++ b/review/standin-2/header.go
@@ -74,7 +74,7 @@
 // putWithHeader sends an upload whose header has the given size, from the request line to the empty
 // line.
 func (r *rig) putWithHeader(m *machine, id string, size int) (status int, err error) {
-	c, err := net.DialTimeout("tcp", m.addr(r.ports.callers), time.Second)
+	c, err := net.DialTimeout("tcp", m.address(r.ports.callers), time.Second)
 	if err != nil {
 		return 0, err
 	}
--- a/review/standin-2/interim.go
+++ b/review/standin-2/interim.go
@@ -84,7 +84,7 @@
 // pipeline keeps interimWindow requests open on one connection to the node of m until a time. It
 // ends the connection at the first answer that is not the target's.
 func (r *rig) pipeline(name string, m *machine, trouble bool, end time.Time) (answered int, wrong bool, err error) {
-	c, err := net.DialTimeout("tcp", m.addr(r.ports.callers), time.Second)
+	c, err := net.DialTimeout("tcp", m.address(r.ports.callers), time.Second)
 	if err != nil {
 		return 0, false, err
 	}
--- a/review/standin-2/own503.go
+++ b/review/standin-2/own503.go
@@ -17,6 +17,8 @@
 	// two of them.
 	ownTime     = 25 * time.Second
 	ownInterval = 80 * time.Millisecond
+	// ownClients is the number of clients at each machine.
+	ownClients = 6
 	// ownWork is the time that targets work on a request.
 	ownWork = 290 * time.Millisecond
 	// greyFrom, greyFor and greyShare say when one target fails requests, and how many of them.
@@ -55,7 +57,7 @@
 	}
 	var served, retried, broken atomic.Int64
 	var clients sync.WaitGroup
-	for k := range 2 * ownMachines {
+	for k := range ownClients * ownMachines {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
@@ -97,7 +99,7 @@
 
 // order sends one request on a new connection to the node of m.
 func (r *rig) order(m *machine, id string) (status int, retryAfter time.Duration, stamp string, err error) {
-	c, err := net.DialTimeout("tcp", m.addr(r.ports.callers), time.Second)
+	c, err := net.DialTimeout("tcp", m.address(r.ports.callers), time.Second)
 	if err != nil {
 		return 0, 0, "", err
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -12,162 +14,143 @@
 	"time"
 )
 
+const (
+	// answerTime is how long the store takes for an answer, and maxWait the longest wait of a watch.
+	answerTime = 4 * time.Millisecond
+	maxWait    = 30 * time.Second
+	// pageItems is the most items of one page.
+	pageItems = 500
+)
+
 // store stands in for the platform's metadata store.
 type store struct {
-	addr   string
-	record *record
+	address string
+	record  *record
 
 	mu       sync.Mutex
 	revision uint64
 	created  map[string]uint64
-	items    map[string]item
-	history  []item
-	changed  chan struct{}
-	// gate, if set, may hold or refuse a call.
-	gate func(w http.ResponseWriter, r *http.Request) (handled bool)
-	// reads counts the calls.
-	reads int
+	// items holds the newest item of each key, and history all, encoded as JSON.
+	items   map[string]item
+	history []item
+	changed chan struct{}
 }
 
 type item struct {
-	Key      string `json:"key"`
-	Value    string `json:"value,omitempty"`
-	Revision uint64 `json:"revision"`
-	Created  uint64 `json:"created,omitempty"`
-	Lease    uint64 `json:"lease"`
-	Removed  bool   `json:"removed,omitempty"`
+	key      string
+	revision uint64
+	encoded  []byte
 }
 
-const pageItems = 50
-
 func newStore(r *record) *store {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fail("store: %v", err)
 	}
-	s := &store{addr: l.Addr().String(), record: r, revision: 10, created: map[string]uint64{}, items: map[string]item{}, changed: make(chan struct{})}
+	s := &store{address: l.Addr().String(), record: r, revision: 10, created: map[string]uint64{}, items: map[string]item{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/shallotspool/kv-key", s.key)
-	mux.HandleFunc("/shallotspool/kv-range", s.list)
-	mux.HandleFunc("/shallotspool/kv-watch", s.watch)
+	mux.HandleFunc("/shallotspool/kv-key", s.serveKey)
+	mux.HandleFunc("/shallotspool/kv-range", s.serveRange)
+	mux.HandleFunc("/shallotspool/kv-watch", s.serveWatch)
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			s.mu.Lock()
-			s.reads++
-			gate := s.gate
-			s.mu.Unlock()
 			w.Header().Set("Store-Era", "1")
-			if gate != nil && gate(w, q) {
-				return
-			}
+			w.Header().Set("Content-Type", "application/json")
+			time.Sleep(answerTime)
 			mux.ServeHTTP(w, q)
 		}))
 	}()
 	return s
 }
 
-// put writes an item and returns its revision: the acknowledgement.
-func (s *store) put(key string, value []byte) uint64 {
+// put writes an item. Its return is the acknowledgement.
+func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
 	if s.created[key] == 0 {
 		s.created[key] = s.revision
 	}
-	it := item{Key: key, Value: base64.StdEncoding.EncodeToString(value), Revision: s.revision, Created: s.created[key]}
-	s.items[key] = it
-	s.append(it)
-	if key == "op/config" {
-		s.record.line("store acknowledges %s at revision %d", key, s.revision)
+	encoded, err := json.Marshal(map[string]any{
+		"key": key, "value": base64.StdEncoding.EncodeToString(value), "revision": s.revision, "created": s.created[key], "lease": 0,
+	})
+	if err != nil {
+		fail("store: %v", err)
 	}
-	return s.revision
-}
-
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	delete(s.items, key)
-	delete(s.created, key)
-	s.append(item{Key: key, Revision: s.revision, Removed: true})
-	s.record.line("store removes %s at revision %d", key, s.revision)
-}
-
-func (s *store) append(it item) {
+	it := item{key: key, revision: s.revision, encoded: encoded}
+	s.items[key] = it
 	s.history = append(s.history, it)
 	close(s.changed)
 	s.changed = make(chan struct{})
+	if key == "op/config" {
+		s.record.line("store acknowledges %s at revision %d", key, s.revision)
+	}
 }
 
-func (s *store) setGate(gate func(w http.ResponseWriter, r *http.Request) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.gate = gate
-}
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+// reply writes an answer with the items, which are in the field named list.
+func reply(w http.ResponseWriter, list string, items []item, rest string) {
+	fmt.Fprintf(w, `{"%s":[`, list)
+	for i, it := range items {
+		if i > 0 {
+			_, _ = io.WriteString(w, ",")
+		}
+		_, _ = w.Write(it.encoded)
+	}
+	fmt.Fprintf(w, `],%s}`, rest)
 }
 
-func (s *store) key(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveKey(w http.ResponseWriter, q *http.Request) {
 	s.mu.Lock()
-	it, ok := s.items[r.URL.Query().Get("key")]
+	it, ok := s.items[q.URL.Query().Get("key")]
 	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, it)
+	_, _ = w.Write(it.encoded)
 }
 
-func (s *store) list(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(4 * time.Millisecond)
-	q := r.URL.Query()
+func (s *store) serveRange(w http.ResponseWriter, q *http.Request) {
+	args := q.URL.Query()
 	s.mu.Lock()
-	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
-			keys = append(keys, k)
+	var items []item
+	for key, it := range s.items {
+		if strings.HasPrefix(key, args.Get("prefix")) && key > args.Get("after") {
+			items = append(items, it)
 		}
 	}
-	sort.Strings(keys)
-	items := []item{}
-	for _, k := range keys[:min(len(keys), pageItems)] {
-		items = append(items, s.items[k])
-	}
-	out := map[string]any{"items": items, "has_more": len(keys) > pageItems, "at": s.revision}
+	at := s.revision
 	s.mu.Unlock()
-	reply(w, out)
+	sort.Slice(items, func(i, j int) bool { return items[i].key < items[j].key })
+	page := items[:min(len(items), pageItems)]
+	reply(w, "items", page, fmt.Sprintf(`"has_more":%v,"at":%d`, len(page) < len(items), at))
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(4 * time.Millisecond)
-	q := r.URL.Query()
-	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	timer := time.NewTimer(time.Duration(min(wait, 30_000)) * time.Millisecond)
+func (s *store) serveWatch(w http.ResponseWriter, q *http.Request) {
+	args := q.URL.Query()
+	after, _ := strconv.ParseUint(args.Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(args.Get("wait_ms"))
+	timer := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxWait))
 	defer timer.Stop()
-	for {
+	for expired := false; ; {
 		s.mu.Lock()
-		events := []item{}
+		var events []item
 		for _, it := range s.history {
-			if it.Revision > after && strings.HasPrefix(it.Key, q.Get("prefix")) {
+			if it.revision > after && strings.HasPrefix(it.key, args.Get("prefix")) {
 				events = append(events, it)
 			}
 		}
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if len(events) > 0 {
-			reply(w, map[string]any{"events": events, "at": at})
+		if len(events) > 0 || expired {
+			reply(w, "events", events, fmt.Sprintf(`"at":%d`, at))
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply(w, map[string]any{"events": events, "at": at})
-			return
-		case <-r.Context().Done():
+			expired = true
+		case <-q.Context().Done():
 			return
 		}
 	}
