Take the ports of the review's stand-in below those of outgoing connections

Suspected: the port was that of an ended connection of the run before on the same address, which the system keeps for a minute.

--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,15 +37,24 @@
 // ports are the listening ports. All machines use the same, each on its own loopback address.
 type ports struct{ callers, peers, ready, heartbeats, metrics, target int }
 
+// minPort and maxPort bound the ports. They lie below those that the system gives to outgoing
+// connections: one that has ended on an address of a machine keeps its port for a minute.
+const minPort, maxPort = 12_000, 32_000
+
 // freePorts finds free ports.
 func freePorts() (p ports) {
 	for _, port := range []*int{&p.callers, &p.peers, &p.ready, &p.heartbeats, &p.metrics, &p.target} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			fail("no free port: %v", err)
+		for tries := 0; *port == 0; tries++ {
+			candidate := minPort + rand.IntN(maxPort-minPort)
+			l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(candidate)))
+			if err != nil && tries == 100 {
+				fail("no free port: %v", err)
+			}
+			if err == nil {
+				defer l.Close()
+				*port = candidate
+			}
 		}
-		*port = l.Addr().(*net.TCPAddr).Port
-		defer l.Close()
 	}
 	return p
 }
