--- a/review/standin-2/own503.go
+++ b/review/standin-2/own503.go
@@ -21,16 +21,16 @@
 	ownClients = 6
 	// ownWork is the time that targets work on a request.
 	ownWork = 290 * time.Millisecond
-	// greyFrom, greyFor and greyShare say when one target fails requests, and how many of them.
+	// greyFrom, greyFor and greyShare say when the targets of a service fail requests, and how many.
 	greyFrom  = 5 * time.Second
 	greyFor   = 6500 * time.Millisecond
 	greyShare = 0.45
-	// machines is the number of machines. One of eight targets is grey: a share of 0.125.
+	// ownMachines is the number of machines, half of them with targets of the service.
 	ownMachines = 8
 )
 
-// playOwn503 has clients that send requests that must not run twice. With trouble, one target
-// fails part of these once they have run, with status 503 and its stamp. The function returns the
+// playOwn503 has clients that send requests that must not run twice. With trouble, the
+// targets fail part of these once they have run, with status 503 and its stamp. The function returns the
 // number of requests that a client was told not to have run, though they have.
 func playOwn503(r *rig, trouble bool) (violations int) {
 	zones := []string{"z-a", "z-b"}
@@ -43,16 +43,18 @@
 	r.startAll()
 
 	start := time.Now()
-	grey := r.machines[1].target
-	if trouble {
-		grey.handle = func(c net.Conn, q *http.Request, body []byte) bool {
+	for _, m := range r.machines {
+		if !trouble || m.service != "orders" {
+			continue
+		}
+		t := m.target
+		t.handle = func(c net.Conn, q *http.Request, body []byte) bool {
 			time.Sleep(ownWork)
-			id := q.Header.Get("Request-Id")
 			if since := time.Since(start); since > greyFrom && since < greyFrom+greyFor && rand.Float64() < greyShare {
 				// The request has run: the answer does not have Not-Executed.
-				return grey.answer(c, q, http.StatusServiceUnavailable, []byte("order is written, receipt printer is away"))
+				return t.answer(c, q, http.StatusServiceUnavailable, []byte("order is written, receipt printer is away"))
 			}
-			return grey.answer(c, q, http.StatusOK, grey.body(id))
+			return t.answer(c, q, http.StatusOK, t.body(q.Header.Get("Request-Id")))
 		}
 	}
 	var served, retried, broken atomic.Int64
