Measure the header of a request as the caller sent it

One that was over the limit was accepted if the node wrote it shorter. A caller that was still sending could lose the 431, since the connection was closed with unread bytes.

Cause: readRequest compared the limit with the header as fasthttp writes it anew: with a blank after each colon, without blanks at the ends of values, and with a default Content-Type for an upload that names none.

Evidence: TestHeaderIsLimitedAsSent fails before: 431 at the limit for uploads without a type and for fields without blanks, 200 one byte beyond it for values with blanks at the end, and a connection reset while the last bytes were sent.

Change: the read buffer of a connection counts what is taken out of it, and the limit applies to that count. After 431 the rest of the request is read and discarded before the connection is closed, as after 413.

--- a/node/internal/listener/body.go
+++ b/node/internal/listener/body.go
@@ -40,7 +40,7 @@
 		terms = c.l.cfg.BodyTerms(x)
 	}
 	x.bodyLease = terms.Lease
-	reader := &body.Reader{In: c.in, Max: maxBytes, Lease: terms.Lease, WaitUntil: terms.WaitUntil}
+	reader := &body.Reader{In: c.in.Reader, Max: maxBytes, Lease: terms.Lease, WaitUntil: terms.WaitUntil}
 	err := c.readBodyInto(x, reader, length, terms.ReadUntil)
 	if err != nil {
 		x.bodyLease.Release()
@@ -74,7 +74,7 @@
 	}
 	x.Request.SetBodyRaw(read)
 	x.Request.Header.SetContentLength(len(read))
-	return x.Request.Header.ReadTrailer(c.in)
+	return x.Request.Header.ReadTrailer(c.in.Reader)
 }
 
 // allowBody tells a caller that waits for it to send the body.
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -19,7 +17,7 @@
 type conn struct {
 	l      *Listener
 	raw    net.Conn
-	in     *bufio.Reader
+	in     received
 	remote netip.Addr
 	// ctx is the context of all handlers; cancel is called when the caller
 	// disconnects or the connection ends.
@@ -60,7 +58,7 @@
 // serve reads and handles requests until readRequests returns, then closes the
 // connection once the remaining responses are written or discarded.
 func (c *conn) serve() {
-	c.in = bufio.NewReaderSize(c.raw, bufferBytes)
+	c.in = newReceived(c.raw)
 	written := make(chan struct{})
 	c.l.cfg.Go(func() {
 		defer close(written)
@@ -175,13 +173,10 @@
 	limits := c.l.limits()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	h := &x.Request.Header
-	if err := c.readHeader(h, limits.MaxHeaderBytes); err != nil {
+	if err := c.in.readFields(limits.MaxHeaderBytes, h.Read); err != nil {
 		return classifyHeaderError(err)
 	}
 	x.HeaderAt = time.Now()
-	if limits.MaxHeaderBytes > 0 && len(h.Header()) > limits.MaxHeaderBytes {
-		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge}
-	}
 	err := c.readBody(x, limits.MaxBodyBytes)
 	if err != nil && c.givesUp() {
 		return &requestError{status: fasthttp.StatusServiceUnavailable, bodyUnread: true}
@@ -189,21 +184,6 @@
 	return err
 }
 
-// readHeader reads a header. It makes the read buffer larger for one that does not fit, up to
-// maxBytes.
-func (c *conn) readHeader(h *fasthttp.RequestHeader, maxBytes int) error {
-	for {
-		err := h.Read(c.in)
-		var small *fasthttp.ErrSmallBuffer
-		if !errors.As(err, &small) || c.in.Size() >= maxBytes {
-			return err
-		}
-		buffered, _ := c.in.Peek(c.in.Buffered())
-		unread := bytes.NewReader(bytes.Clone(buffered))
-		c.in = bufio.NewReaderSize(io.MultiReader(unread, c.raw), min(2*c.in.Size(), maxBytes))
-	}
-}
-
 // bodyTimeout is how long a caller may take to send a body. It equals the timeout
 // of a request that states none.
 const bodyTimeout = 30 * time.Second
@@ -214,11 +194,10 @@
 // or too slow, and err itself if the connection ended. Any net.Error, also a
 // reset, counts as too slow; the response to a reset cannot be delivered.
 func classifyHeaderError(err error) error {
-	var bufferErr *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
-	case errors.As(err, &bufferErr):
-		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge}
+	case errors.Is(err, errFieldsTooLarge):
+		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge, bodyUnread: true}
 	case errors.As(err, &netErr):
 		return &requestError{status: fasthttp.StatusRequestTimeout}
 	case isConnectionError(err):
--- /dev/null
+++ b/node/internal/listener/header_limit_test.go
@@ -0,0 +1,49 @@
+package listener_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shallotspool/shallotspool/node/internal/listener"
+)
+
+// headerForms are ways to write a header, up to the value that is extended to reach its size.
+var headerForms = map[string]string{
+	"upload without a type":        "PUT /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nSession: ",
+	"upload with a type":           "PUT /x HTTP/1.1\r\nHost: h\r\nContent-Type: text/plain\r\nContent-Length: 5\r\nSession: ",
+	"no blanks after colons":       "PUT /x HTTP/1.1\r\nHost:h\r\nContent-Length:5\r\n" + strings.Repeat("A:b\r\n", 20) + "Session:",
+	"blanks at the end of a value": "PUT /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nPadded: p" + strings.Repeat(" ", 60) + "\r\nSession: ",
+}
+
+// headerOfSize returns the header that begins with form and has the given size, from the request
+// line to the empty line, in bytes.
+func headerOfSize(form string, size int) string {
+	const end = "\r\n\r\n"
+	return form + strings.Repeat("s", size-len(form)-len(end)) + end
+}
+
+// TestHeaderIsLimitedAsSent guards against a header within the limit that is refused with 431, or
+// one beyond it that is accepted, since another form of it than the caller's was measured.
+func TestHeaderIsLimitedAsSent(t *testing.T) {
+	for _, limit := range []int{500, 4096, 5000, 16384, 40_000} {
+		_, address := start(t, listener.Limits{MaxHeaderBytes: limit}, echo)
+		for name, form := range headerForms {
+			for beyond, want := range []int{200, 431} {
+				header := headerOfSize(form, limit+beyond)
+				for _, last := range []int{0, 1, 2} {
+					conn, in := dial(t, address)
+					// A request before it leaves bytes in the read buffer.
+					send(t, conn, "PUT /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"+header[:len(header)-last])
+					if status, body, _ := receive(t, in); status != 200 || body != "a" {
+						t.Fatalf("the request before got status %d", status)
+					}
+					send(t, conn, header[len(header)-last:]+"hello")
+					if status, body, _ := receive(t, in); status != want || want == 200 && body != "hello" {
+						t.Errorf("limit %d, %s, %d bytes beyond it, the last %d apart: got status %d, want %d", limit, name, beyond, last, status, want)
+					}
+					_ = conn.Close()
+				}
+			}
+		}
+	}
+}
