Take trailers up to the limit of headers

Cause: the trailer was read from the buffer as it was; only for a header was it made larger. A trailer larger than the limit was accepted if the buffer held it.

Evidence: TestTrailerWithinHeaderLimitIsAccepted fails before: 400 for 16,384 bytes at a limit of 16,384, 200 for 501 bytes at one of 500, 400 instead of 431 beyond the others.

Change: a trailer is read as a header is, by the same limit, in bytes as they were sent. Beyond it the answer is 431.

Result: the test passes, with the other tests of the package.

--- a/node/internal/listener/body.go
+++ b/node/internal/listener/body.go
@@ -27,7 +27,8 @@
 
 // readBody reads the body of a request whose header was read. Its errors are those of
 // readRequest.
-func (c *conn) readBody(x *Exchange, maxBytes int) error {
+func (c *conn) readBody(x *Exchange, limits Limits) error {
+	maxBytes := limits.MaxBodyBytes
 	length := x.Request.Header.ContentLength()
 	if length == noBody || length == 0 {
 		return c.allowBody(x)
@@ -42,13 +43,17 @@
 	x.bodyLease = terms.Lease
 	reader := &body.Reader{In: c.in.Reader, Max: maxBytes, Lease: terms.Lease, WaitUntil: terms.WaitUntil}
 	err := c.readBodyInto(x, reader, length, terms.ReadUntil)
+	if err == nil && length == chunkedBody {
+		err = c.in.readFields(limits.MaxHeaderBytes, x.Request.Header.ReadTrailer)
+	}
 	if err != nil {
 		x.bodyLease.Release()
 	}
 	return classifyBodyError(err)
 }
 
-// readBodyInto reads a body of a length, or a chunked one, until a time or for bodyTimeout.
+// readBodyInto reads a body of a length, or a chunked one up to its trailer, until a time or for
+// bodyTimeout.
 func (c *conn) readBodyInto(x *Exchange, reader *body.Reader, length int, until time.Time) error {
 	if length > 0 {
 		if err := reader.Reserve(length); err != nil {
@@ -74,7 +79,7 @@
 	}
 	x.Request.SetBodyRaw(read)
 	x.Request.Header.SetContentLength(len(read))
-	return x.Request.Header.ReadTrailer(c.in.Reader)
+	return nil
 }
 
 // allowBody tells a caller that waits for it to send the body.
@@ -97,6 +102,8 @@
 		return &requestError{status: fasthttp.StatusServiceUnavailable, bodyUnread: true}
 	case errors.Is(err, body.ErrTooLarge):
 		return &requestError{status: fasthttp.StatusRequestEntityTooLarge, bodyUnread: true}
+	case errors.Is(err, errFieldsTooLarge):
+		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge, bodyUnread: true}
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return &requestError{status: fasthttp.StatusRequestTimeout}
 	case isConnectionError(err):
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -177,7 +177,7 @@
 		return classifyHeaderError(err)
 	}
 	x.HeaderAt = time.Now()
-	err := c.readBody(x, limits.MaxBodyBytes)
+	err := c.readBody(x, limits)
 	if err != nil && c.givesUp() {
 		return &requestError{status: fasthttp.StatusServiceUnavailable, bodyUnread: true}
 	}
--- a/node/internal/listener/header_limit_test.go
+++ b/node/internal/listener/header_limit_test.go
@@ -47,3 +47,23 @@
 		}
 	}
 }
+
+// TestTrailerWithinHeaderLimitIsAccepted guards against a trailer within the limit of headers that
+// is refused since it does not fit into a read buffer that no large header has extended.
+func TestTrailerWithinHeaderLimitIsAccepted(t *testing.T) {
+	for _, limit := range []int{500, 4096, 16384} {
+		_, address := start(t, listener.Limits{MaxHeaderBytes: limit}, echo)
+		for beyond, want := range []int{200, 431} {
+			trailer := headerOfSize("Checksum: ", limit+beyond)
+			for _, last := range []int{0, 1, 2} {
+				conn, in := dial(t, address)
+				send(t, conn, "PUT /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"+trailer[:len(trailer)-last])
+				send(t, conn, trailer[len(trailer)-last:])
+				if status, body, _ := receive(t, in); status != want || want == 200 && body != "hello" {
+					t.Errorf("limit %d, a trailer %d bytes beyond it, the last %d apart: got status %d, want %d", limit, beyond, last, status, want)
+				}
+				_ = conn.Close()
+			}
+		}
+	}
+}
