Deliver large response headers that nodes write longer

What callers saw: an answer of a remote upstream with a header of nearly 16 KB whose fields have no blank after the colon was lost between the two nodes: 502, though the request had run. The same answer reached callers beside the upstream.

Cause: the node beside the upstream takes 16 KB as sent, then writes a blank after each colon. The other node allowed 1 KB more, enough for the fields of nodes only.

Evidence: TestResponseHeaderThatNodesWriteLongerIsDelivered gets 502 at the other node before.

Change: the read buffer for answers of nodes also has room for a blank in every fourth byte.

Result: the test passes; TestLargestResponseHeaderIsDelivered as before.

--- a/node/sidecar/exchange.go
+++ b/node/sidecar/exchange.go
@@ -29,8 +29,9 @@
 	maxResponseBytes = 64 << 20
 	// maxResponseShare is the share of the memory for bodies that a single response may take.
 	maxResponseShare = 0.5
-	// maxNodeHeaderBytes is the most that a node adds to the header of a response.
-	maxNodeHeaderBytes = 1 << 10
+	// maxNodeHeaderBytes is the most that a node adds to the header of a response: its own fields,
+	// and a blank after each colon, of which there is one in four bytes at most.
+	maxNodeHeaderBytes = 1<<10 + pool.MaxHeaderBytes/4
 	// maxPeerIdle is how long an idle connection to another node is kept. It is long
 	// enough for infrequent but steady requests to reuse connections, and short because
 	// TCP keep-alive probes every idle connection.
--- a/node/sidecar/response_header_test.go
+++ b/node/sidecar/response_header_test.go
@@ -1,6 +1,8 @@
 package sidecar_test
 
 import (
+	"io"
+	"net"
 	"strings"
 	"testing"
 
@@ -23,3 +25,21 @@
 		}
 	}
 }
+
+// TestResponseHeaderThatNodesWriteLongerIsDelivered guards against an answer whose header grows
+// beyond the limit between nodes, as the first one writes a blank after each colon.
+func TestResponseHeaderThatNodesWriteLongerIsDelivered(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep)
+	const head = "HTTP/1.1 200 OK\r\nX-Id:r\r\nX-Stamp:s\r\nContent-Length:2\r\n"
+	const field = "A:\r\n"
+	head16KB := head + strings.Repeat(field, (pool.MaxHeaderBytes-len(head)-len("\r\n"))/len(field)) + "\r\n"
+	f.upstreams[deep].setResponse(func(ctx *fasthttp.RequestCtx) {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(conn net.Conn) { _, _ = io.WriteString(conn, head16KB+"ok") })
+	})
+	for _, entry := range []string{deep, front} {
+		if got := f.caller(entry).request("GET", "/read/x", "r"); got.status != fasthttp.StatusOK || got.body != "ok" {
+			t.Errorf("at %s: got status %d and body %q, want 200", entry, got.status, got.body)
+		}
+	}
+}
