Pass the largest headers of callers on to other nodes

What callers saw: with max_header_bytes at or near 1 MiB, the most that nodes take, a request with a header of that size was refused (503) if its upstream stood beside another node, and served by an upstream beside its own node.

Cause: listeners cap every limit at 1 MiB, also that for requests of other nodes, which come with the fields of nodes and a blank after each colon.

Evidence: TestLargestHeaderIsPassedOnToOtherNodes gets 503 at the other node before.

Change: the cap of 1 MiB applies to callers; between nodes 4 MiB are allowed, which holds a header and a trailer of the largest size as nodes write them.

Result: the test passes, with the tests of limits and headers of node/sidecar and node/internal/listener.

--- a/node/internal/listener/limits.go
+++ b/node/internal/listener/limits.go
@@ -19,7 +19,7 @@
 
 // maxHeaderBufferBytes bounds MaxHeaderBytes, since a connection keeps a buffer of the size of its
 // largest header.
-const maxHeaderBufferBytes = 1 << 20
+const maxHeaderBufferBytes = 4 << 20
 
 // limits returns the current limits with the defaults filled in.
 func (l *Listener) limits() Limits {
--- a/node/sidecar/peer_limits_test.go
+++ b/node/sidecar/peer_limits_test.go
@@ -3,12 +3,16 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/core/route"
+	"github.com/shallotspool/shallotspool/core/store"
 )
 
 // TestNodeWithoutTableTakesWhatOthersAccepted guards against requests that one node accepted and
@@ -50,3 +54,36 @@
 		_ = conn.Close()
 	}
 }
+
+// TestLargestHeaderIsPassedOnToOtherNodes guards against a request with the largest header that a
+// node takes from callers, which the node beside the upstream refuses as too large: nodes add fields
+// and write a blank after each colon.
+func TestLargestHeaderIsPassedOnToOtherNodes(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep)
+	table := testTable(2)
+	table.Limits.HeaderBytes = 1 << 20
+	f.store.publish(store.Changes{Tables: []*route.Table{table}})
+	f.eventually("the limits are in force", func() bool { return strings.Count(f.logs.String(), "version=2") >= 2 })
+	u := f.upstreams[deep]
+	_ = u.listener.Close()
+	ln, err := net.Listen("tcp", f.address(deep, upstreamPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, ReadBufferSize: 4 << 20}
+	go func() { _ = u.server.Serve(ln) }()
+
+	const head, field = "POST /write/x HTTP/1.1\r\nHost:h\r\nX-Id:%s\r\nX-Left:20000\r\nContent-Length:0\r\n", "A:\r\n"
+	for _, entry := range []string{deep, front} {
+		text := fmt.Sprintf(head, "r-"+entry)
+		text += strings.Repeat(field, (table.Limits.HeaderBytes-len(text)-len("\r\n"))/len(field)) + "\r\n"
+		c := f.caller(entry)
+		if _, err := io.WriteString(c.conn, text); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.receive(); got.status != fasthttp.StatusOK {
+			t.Errorf("%d bytes at %s: got status %d, want 200", len(text), entry, got.status)
+		}
+	}
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -205,9 +205,14 @@
 	return listenerLimits(t.Limits)
 }
 
+// maxCallerHeaderBytes bounds the headers of callers, whatever the routing table allows. A node
+// writes a header and a trailer of that size with at most 4 MiB, which listeners accept: a blank
+// follows each colon, and the fields of nodes are added.
+const maxCallerHeaderBytes = 1 << 20
+
 func listenerLimits(l route.Limits) listener.Limits {
 	return listener.Limits{
-		MaxHeaderBytes: l.HeaderBytes, MaxBodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTime, IdleTimeout: l.IdleTime,
+		MaxHeaderBytes: min(l.HeaderBytes, maxCallerHeaderBytes), MaxBodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTime, IdleTimeout: l.IdleTime,
 	}
 }
 
