Pass headers at the limit between nodes of the daemon

What callers saw: a call with a header of nearly 16 KB, or an answer with one, was lost between two nodes of shallotd (502, unknown outcome), and went through if the upstream stood beside the node of the caller.

Cause: the listener for other nodes and the connections to them had the limit of callers and upstreams, though nodes add their fields and a blank after each colon.

Evidence: TestLargestHeadersPassBetweenNodes gets 502 for the request and for the answer before, twice, and 200 beside the upstream.

Change: between nodes the limit is larger by what nodes add.

--- a/node/internal/attempt/executor.go
+++ b/node/internal/attempt/executor.go
@@ -264,6 +264,7 @@
 	}
 	p = pool.New(pool.Config{
 		Address: inst.PeerAddress, SourceIP: e.cfg.SourceIP, MaxConnections: e.cfg.MaxPeerConnections, OnConnect: e.cfg.OnConnect,
+		ExtraHeaderBytes: header.MaxAddedBytes(pool.MaxHeaderBytes),
 	})
 	e.peers[target] = p
 	return p
--- a/node/internal/header/names.go
+++ b/node/internal/header/names.go
@@ -42,6 +42,11 @@
 	maxPriority = 1<<16 - 1
 )
 
+// MaxAddedBytes returns the most that a node adds to a header of a size, in bytes, on its way to
+// another node: the fields of this system, and a blank after each colon, of which there is one in
+// four bytes at most.
+func MaxAddedBytes(size int) int { return 2<<10 + size/4 }
+
 // hopByHop is the set of fields that apply to a single connection or message and
 // are not forwarded.
 var hopByHop = map[string]bool{
--- a/node/internal/server/reply.go
+++ b/node/internal/server/reply.go
@@ -115,17 +115,17 @@
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	ctx.Response.Header.Set(header.Outcome, engine.OutcomeBadRequest.String())
-	writeError(ctx, status, errorBody{Outcome: engine.OutcomeBadRequest.String(), Reason: reason, Detail: readErrorDetail(status)})
+	writeError(ctx, status, errorBody{Outcome: engine.OutcomeBadRequest.String(), Reason: reason, Detail: s.readErrorDetail(status)})
 }
 
 // readErrorDetail describes a read error by its status. fasthttp's own error
 // text is not used, as it quotes the bytes that the client sent.
-func readErrorDetail(status int) string {
+func (s *Server) readErrorDetail(status int) string {
 	switch status {
 	case fasthttp.StatusRequestEntityTooLarge:
 		return "the body is over the limit of this listener"
 	case fasthttp.StatusRequestHeaderFieldsTooLarge:
-		return "the header is over " + strconv.Itoa(maxHeaderBytes) + " bytes"
+		return "the header is over " + strconv.Itoa(headerLimit(s.cfg.Origin)) + " bytes"
 	}
 	return "the request cannot be read"
 }
--- a/node/internal/server/server.go
+++ b/node/internal/server/server.go
@@ -19,7 +19,7 @@
 	"github.com/shallotspool/shallotspool/node/internal/loop"
 )
 
-// Limits of every listener.
+// Limits of every listener. maxHeaderBytes is that of callers; see headerLimit.
 const (
 	maxHeaderBytes = 16 << 10
 	readTimeout    = 30 * time.Second
@@ -65,7 +65,7 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleReadError,
 		Concurrency: cfg.MaxConnections, MaxRequestBodySize: cfg.MaxBodyBytes,
-		ReadBufferSize: maxHeaderBytes, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		ReadBufferSize: headerLimit(cfg.Origin), ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		CloseOnShutdown: true, Logger: discardLogger{}, LogAllErrors: false, TCPKeepalive: true,
 		DisablePreParseMultipartForm: true, KeepHijackedConns: false,
@@ -73,6 +73,15 @@
 	return s
 }
 
+// headerLimit returns the maximum size of the headers of calls, in bytes. Those of other nodes have
+// been within the limit of callers where they entered.
+func headerLimit(origin engine.Origin) int {
+	if origin == engine.OriginPeer {
+		return maxHeaderBytes + header.MaxAddedBytes(maxHeaderBytes)
+	}
+	return maxHeaderBytes
+}
+
 // Serve accepts calls from ln until Shutdown is called.
 func (s *Server) Serve(ln net.Listener) error {
 	return errors.Wrap(s.http.Serve(ln), "serve")
