Promise "not run" to no caller whose request an upstream has run

The caller takes 503 for "not run", sends the order again, and it runs twice. 408 and 429 took the same way.

Cause: the node where a request entered delivered every answer that an upstream had stamped, and never asked whether its status promises the contrary of what the stamp says.

Evidence: TestStatusOfUpstreamDoesNotPromiseNotRun, TestStatusAfterRetryDoesNotPromiseNotRun and TestStatusOfCalledServiceDoesNotPromiseNotRun fail before: 408, 429 and 503 with the body, beside the upstream and at the other node.

Change: the decision to deliver looks at the status. On a route that must not be repeated, 408, 421, 429 and 503 become 502 without the stamp, the body and Retry-After, which promises nothing. The log has the upstream's status ("answer withheld"), the request's last line reason=ambiguous_status. Idempotent requests get the upstream's answer, as PROTOCOL.md says.

--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -33,7 +33,7 @@
 	}
 	switch {
 	case o.Kind == OutcomeAnswered && !n.isServerError(o):
-		return Step{Kind: StepDeliver}
+		return c.deliver(o)
 	case o.Reason == ReasonCrasher, n.blocked(now, c.fingerprint):
 		o.Reason = ReasonCrasher
 		return n.finalStep(c, o)
@@ -133,13 +133,32 @@
 func (n *Node) finalStep(c *Call, o Outcome) Step {
 	switch {
 	case o.Kind == OutcomeAnswered:
-		return Step{Kind: StepDeliver}
+		return c.deliver(o)
 	case o.Kind == OutcomeNotRun && !c.mayHaveRun:
 		return n.refuse(c, o.Reason)
 	}
 	return Step{Kind: StepFail, Reason: o.Reason}
 }
 
+// deliver returns the step for an answer of the upstream, which has run c. The caller of a
+// request that must not be repeated does not get a status by which it would send it again.
+func (c *Call) deliver(o Outcome) Step {
+	if !c.Route.Idempotent && promisesNotRun(o.Status) {
+		return Step{Kind: StepFail, Reason: ReasonAmbiguousStatus}
+	}
+	return Step{Kind: StepDeliver}
+}
+
+// promisesNotRun reports whether callers take a request with this status for one that has not
+// run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case 408, 421, 429, 503:
+		return true
+	}
+	return false
+}
+
 func (n *Node) refuse(c *Call, reason Reason) Step {
 	return Step{Kind: StepRefuse, Reason: reason, RetryAfter: n.retryAfter(c)}
 }
--- a/core/mesh/call.go
+++ b/core/mesh/call.go
@@ -151,11 +151,14 @@
 	ReasonCrasher
 	// ReasonCrashed means that the upstream crashed while it ran the request.
 	ReasonCrashed
+	// ReasonAmbiguousStatus means that the upstream ran a request that must not be repeated,
+	// and answered with a status that promises callers the contrary.
+	ReasonAmbiguousStatus
 )
 
 var reasonNames = [...]string{
 	"none", "no_table", "no_route", "deadline", "no_upstream", "entry", "busy", "shed", "moved",
-	"leaving", "unreachable", "lost", "crasher", "crashed",
+	"leaving", "unreachable", "lost", "crasher", "crashed", "ambiguous_status",
 }
 
 // String returns the name of the reason in logs and metrics.
--- a/node/sidecar/caller.go
+++ b/node/sidecar/caller.go
@@ -112,6 +112,9 @@
 // respond fills in the response to the caller, and logs and counts the request.
 func (s *Sidecar) respond(x *listener.Exchange, c *mesh.Call, step mesh.Step) {
 	status := x.Response.StatusCode()
+	if step.Reason == mesh.ReasonAmbiguousStatus {
+		s.log.Info("answer withheld", field("request", c.ID), field("last", c.LastTried()), field("upstream_status", status))
+	}
 	switch step.Kind {
 	case mesh.StepDeliver:
 		h := &x.Response.Header
