Take no success for a refusal

What callers saw: if an upstream answered a request that must not run twice with 200, its stamp and Not-Executed, the request was sent to another upstream, or the caller was told that it has not run.

Cause: the field was believed whatever the status. PROTOCOL.md names it with 503, 429, 421 and 400.

Evidence: TestSuccessMarkedNotRunIsNoRefusal fails before: 503, and two runs of one request.

Change: a 2xx with the field contradicts itself and counts as a lost answer: 502, and another attempt only where the route allows it.

Result: the test passes, with those of refusals and repeated refusals.

--- a/node/sidecar/own_status_test.go
+++ b/node/sidecar/own_status_test.go
@@ -91,3 +91,26 @@
 	}
 	expectFailedAfterRun(t, "call", got)
 }
+
+// TestSuccessMarkedNotRunIsNoRefusal guards against a success that also says "not run": the caller of a
+// request that must not run twice was told that it has not run, or it was sent to another upstream.
+func TestSuccessMarkedNotRunIsNoRefusal(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep, "deep/"+secondDeep)
+	for _, upstream := range []string{deep, secondDeep} {
+		f.upstreams[upstream].setResponse(func(ctx *fasthttp.RequestCtx) {
+			ctx.Response.Header.Set("X-Not-Run", "1")
+			ctx.SetBodyString("written")
+		})
+	}
+	for _, entry := range []string{deep, front} {
+		id := "once-" + entry
+		expectFailedAfterRun(t, id, f.caller(entry).request("POST", "/write/1", id))
+		received := append(f.upstreams[deep].receivedRequests(), f.upstreams[secondDeep].receivedRequests()...)
+		if n := strings.Count(strings.Join(received, "\n"), id); n != 1 {
+			t.Errorf("%s: ran %d times, want once", id, n)
+		}
+		if got := f.caller(entry).request("GET", "/read/1", "read-"+entry); got.status != fasthttp.StatusBadGateway || got.body != "" {
+			t.Errorf("idempotent at %s: got %+v, want status 502", entry, got)
+		}
+	}
+}
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -323,10 +323,14 @@
 	h := &req.response.Header
 	stamped := len(h.Peek(s.dialect.Headers.ResponseStamp)) > 0
 	encoded := len(h.Peek(fasthttp.HeaderContentEncoding)) > 0
+	notExecuted := len(h.Peek(s.dialect.Headers.NotExecuted)) > 0
 	switch {
 	case o.Status == fasthttp.StatusMisdirectedRequest:
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonMoved}
-	case len(h.Peek(s.dialect.Headers.NotExecuted)) > 0:
+	case notExecuted && o.Status < fasthttp.StatusMultipleChoices:
+		// A success that was not run is a contradiction.
+		return mesh.Outcome{Kind: mesh.OutcomeUnknown, Reason: mesh.ReasonLost, ReachedUpstream: true}
+	case notExecuted:
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonShed, ReachedUpstream: true}
 	case !stamped || encoded:
 		return mesh.Outcome{Kind: mesh.OutcomeUnknown, Reason: mesh.ReasonLost, ReachedUpstream: true}
