Take no stamped 421 for a promise that the request has not run

What callers saw: if an upstream answered a request that must not run twice with 421 and its stamp, the request was sent to another upstream, or the caller was told that it has not run.

Cause: 421 was taken for the answer of another upstream at the address, which has not run the request. The messages of the platform show that answer without a stamp; one with it comes from an upstream that answers requests it has run.

Change: a 421 with a stamp and without Not-Executed still ends the use of that registration, but the request may have run: 502, and another attempt only where the route allows it. It says nothing about the health of the upstream.

--- a/node/sidecar/own_status_test.go
+++ b/node/sidecar/own_status_test.go
@@ -114,3 +114,16 @@
 		}
 	}
 }
+
+// TestStampedMisdirectionIsNoRefusal guards against a 421 that bears the stamp of the upstream, which
+// runs requests before it stamps answers: the request was sent to another upstream, or called "not run".
+func TestStampedMisdirectionIsNoRefusal(t *testing.T) {
+	f := newFleet(t, "front/"+front, "deep/"+deep, "deep/"+secondDeep)
+	for _, upstream := range []string{deep, secondDeep} {
+		f.upstreams[upstream].answerOwn(fasthttp.StatusMisdirectedRequest)
+	}
+	expectFailedAfterRun(t, "not idempotent", f.caller(front).request("POST", "/write/1", "r1"))
+	if n := len(f.upstreams[deep].receivedRequests()) + len(f.upstreams[secondDeep].receivedRequests()); n != 1 {
+		t.Errorf("ran %d times, want once", n)
+	}
+}
--- a/node/sidecar/upstream.go
+++ b/node/sidecar/upstream.go
@@ -225,7 +225,7 @@
 	case o.Kind == mesh.OutcomeUnknown && o.Reason == mesh.ReasonDeadline,
 		o.Kind == mesh.OutcomeAnswered && o.Status == fasthttp.StatusGatewayTimeout:
 		return mesh.RunTimedOut
-	case ctx.Err() != nil, o.Kind == mesh.OutcomeNotRun,
+	case ctx.Err() != nil, o.Kind == mesh.OutcomeNotRun, o.Reason == mesh.ReasonMoved,
 		o.Kind == mesh.OutcomeAnswered && o.Status < fasthttp.StatusInternalServerError:
 		return mesh.RunInconclusive
 	}
@@ -318,17 +318,19 @@
 
 // classifyResponse returns the outcome of a complete response: the upstream ran the
 // request, it did not run it, or the response was not produced by the upstream. The
-// last holds for responses without a stamp and for those with a content encoding.
+// last holds for responses without a stamp and for those with a content encoding. A response
+// that says both that the request ran and that it did not counts as lost.
 func (s *Sidecar) classifyResponse(req *upstreamRequest, o mesh.Outcome) mesh.Outcome {
 	h := &req.response.Header
 	stamped := len(h.Peek(s.dialect.Headers.ResponseStamp)) > 0
 	encoded := len(h.Peek(fasthttp.HeaderContentEncoding)) > 0
 	notExecuted := len(h.Peek(s.dialect.Headers.NotExecuted)) > 0
 	switch {
+	case o.Status == fasthttp.StatusMisdirectedRequest && stamped && !notExecuted:
+		return mesh.Outcome{Kind: mesh.OutcomeUnknown, Reason: mesh.ReasonMoved, ReachedUpstream: true}
 	case o.Status == fasthttp.StatusMisdirectedRequest:
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonMoved}
 	case notExecuted && o.Status < fasthttp.StatusMultipleChoices:
-		// A success that was not run is a contradiction.
 		return mesh.Outcome{Kind: mesh.OutcomeUnknown, Reason: mesh.ReasonLost, ReachedUpstream: true}
 	case notExecuted:
 		return mesh.Outcome{Kind: mesh.OutcomeNotRun, Reason: mesh.ReasonShed, ReachedUpstream: true}
