Let a trial of a refused route run, so that it is served again

Cause: the node beside the upstream refuses a request that has less time left than half of the mean run time of its route. Only runs of the route change that mean, and none ran any more.

Evidence: TestRouteIsServedAgainAfterSlowRuns fails before: 0 of 20 served from 5 s after the slow phase on, whether the time-out fell after it or within. TestWaitingRouteIsServedAgainAfterSlowRuns fails as well: requests have enough time when they arrive, and no longer behind a queue.

Change: if requests of a route are refused and none has started for half a second, the next one is offered without regard to the mean, one at a time. If it ends in time, it counts for half of the mean instead of a twentieth.

--- a/core/mesh/faults.go
+++ b/core/mesh/faults.go
@@ -164,10 +164,18 @@
 	slow := result != RunShed && result != RunUnreachable && took > n.runTimes.mean(w.Route)
 	if result == RunSucceeded || slow {
 		// A run that failed or timed out would have taken at least as long.
-		n.runTimes.observe(w.Route, took)
+		n.runTimes.observe(w.Route, took, n.runWeight(w))
 	}
 }
 
+// runWeight returns the weight of the run of w in the mean run time of its route.
+func (n *Node) runWeight(w Work) float64 {
+	if w.Deadline-w.Started < n.ownMinTimeLeft(w.Route) {
+		return trialRunWeight
+	}
+	return runWeight
+}
+
 // UpstreamDown reports whether the local upstream accepts no connections. It then gets
 // no work and must be probed until it accepts one.
 func (n *Node) UpstreamDown() bool { return n.faults.down }
--- a/core/mesh/run_times.go
+++ b/core/mesh/run_times.go
@@ -1,41 +1,96 @@
 package mesh
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// runWeight is the weight of the newest run in the smoothed mean of its route.
 	runWeight = 0.05
+	// trialRunWeight is the weight of a run that ended in time though the mean said it would not.
+	trialRunWeight = 0.5
+	// runTrialInterval is the least time between trials of a route; see claimTrial.
+	runTrialInterval = 500 * time.Millisecond
 	// defaultRunTime is the assumed run time of a route without observations.
 	defaultRunTime = 50 * time.Millisecond
 	// maxRunRoutes bounds the routes for which run times are kept and reported.
 	maxRunRoutes = 16
 )
 
-// runTimes holds the mean run time of each route at the local upstream.
-type runTimes map[uint32]time.Duration
+// runTimes holds what is known of the runs of each route at the local upstream.
+type runTimes map[uint32]*routeRuns
+
+// routeRuns is what is known of the runs of one route.
+type routeRuns struct {
+	// mean is the smoothed mean run time.
+	mean time.Duration
+	// triedAt is when a run last started or a trial was offered. trial is the ID of the work
+	// that is the open trial, 0 if there is none.
+	triedAt time.Duration
+	trial   uint64
+	// refused is set if a request was refused since a run last started.
+	refused bool
+}
 
-func (r runTimes) observe(routeID uint32, took time.Duration) {
-	mean, known := r[routeID]
+// observe adds a run that took a time. weight is that of the run in the mean.
+func (r runTimes) observe(routeID uint32, took time.Duration, weight float64) {
+	runs := r[routeID]
 	switch {
-	case known:
-		r[routeID] = mean + time.Duration(runWeight*float64(took-mean))
+	case runs != nil:
+		runs.mean += time.Duration(weight * float64(took-runs.mean))
 	case len(r) < maxRunRoutes:
-		r[routeID] = took
+		r[routeID] = &routeRuns{mean: took}
+	}
+}
+
+// recordStart records that a run of a route starts.
+func (r runTimes) recordStart(now time.Duration, routeID uint32) {
+	if runs := r[routeID]; runs != nil {
+		runs.triedAt, runs.refused = now, false
+	}
+}
+
+// recordEnd records that work was refused or has ended.
+func (r runTimes) recordEnd(w Work, refused bool) {
+	runs := r[w.Route]
+	if runs == nil {
+		return
+	}
+	runs.refused = runs.refused || refused
+	if runs.trial == w.ID {
+		runs.trial = 0
 	}
 }
 
+// claimTrial reports whether w is to be offered whatever the mean run time of its route is,
+// because requests of the route are refused and none runs: the mean would never change again.
+func (r runTimes) claimTrial(now time.Duration, w Work) bool {
+	runs := r[w.Route]
+	if runs == nil || !runs.refused || runs.trial != 0 || now < runs.triedAt+runTrialInterval {
+		return false
+	}
+	runs.triedAt, runs.trial = now, w.ID
+	return true
+}
+
+// known returns the mean run time of a route, 0 if there is none.
+func (r runTimes) known(routeID uint32) time.Duration {
+	if runs := r[routeID]; runs != nil {
+		return runs.mean
+	}
+	return 0
+}
+
 // mean returns the mean run time of a route, or defaultRunTime if there is none.
 func (r runTimes) mean(routeID uint32) time.Duration {
-	if stored := r[routeID]; stored > 0 {
-		return stored
-	}
-	return defaultRunTime
+	return cmp.Or(r.known(routeID), defaultRunTime)
 }
 
 func (r runTimes) stats() []RouteStat {
 	out := make([]RouteStat, 0, len(r))
-	for routeID, d := range r {
-		out = append(out, RouteStat{Route: routeID, RunTime: d})
+	for routeID, runs := range r {
+		out = append(out, RouteStat{Route: routeID, RunTime: runs.mean})
 	}
 	return out
 }
@@ -70,7 +125,7 @@
 // or as measured here for the local upstream, 0 if there is none.
 func (n *Node) reportedRunTime(routeID uint32, p *peer) time.Duration {
 	if p.instance == n.cfg.Instance {
-		return n.runTimes[routeID]
+		return n.runTimes.known(routeID)
 	}
 	for _, s := range p.heartbeat.Routes {
 		if s.Route == routeID {
--- a/core/mesh/work.go
+++ b/core/mesh/work.go
@@ -33,9 +33,13 @@
 // is refused, now or later, WorkRefused must be called.
 func (n *Node) OfferWork(now time.Duration, w Work) concurrency.Decision {
 	n.trackWork(now, w)
+	minTimeLeft := n.ownMinTimeLeft(w.Route)
+	if n.runTimes.claimTrial(now, w) {
+		minTimeLeft = 0
+	}
 	d := n.limiter.Offer(now, concurrency.Request{
 		ID: w.ID, Priority: w.Rank.Priority, EnteredAt: now - w.Rank.Age,
-		Deadline: w.Deadline, ExpectedRunTime: n.ownMinTimeLeft(w.Route), LongestRunTime: longestTime(n.runTimes.mean(w.Route)),
+		Deadline: w.Deadline, ExpectedRunTime: minTimeLeft, LongestRunTime: longestTime(n.runTimes.mean(w.Route)),
 	})
 	if d == concurrency.Admit {
 		n.WorkStarted(now, w)
@@ -47,6 +51,7 @@
 // OfferWork does it for the others.
 func (n *Node) WorkStarted(now time.Duration, w Work) {
 	n.usage.start(now, w.Rank.Root)
+	n.runTimes.recordStart(now, w.Route)
 	n.arrivals.record(now, n.budget.bounds.Window, w.Rank.IsRetry)
 	n.suspects.StartTrial(now, w.Fingerprint)
 }
@@ -58,7 +63,7 @@
 // ownMinTimeLeft returns the time before the deadline that is required to start a run
 // of a route at the local upstream.
 func (n *Node) ownMinTimeLeft(routeID uint32) time.Duration {
-	return time.Duration(minRunShare * float64(n.runTimes[routeID]))
+	return time.Duration(minRunShare * float64(n.runTimes.known(routeID)))
 }
 
 // NextWork returns the next queued request to run or refuse; see
@@ -82,6 +87,7 @@
 	}
 	n.suspects.EndTrial(w.Fingerprint, result == RunFailed || result == RunTimedOut)
 	n.recordRun(w, took, result)
+	n.runTimes.recordEnd(w, false)
 	delete(n.openWork, w.RequestID)
 	n.usage.end(now, w.Rank.Root)
 }
@@ -91,5 +97,6 @@
 func (n *Node) WorkRefused(w Work) {
 	n.limiter.Withdraw(w.ID)
 	n.limiter.Done(w.ID)
+	n.runTimes.recordEnd(w, true)
 	delete(n.openWork, w.RequestID)
 }
