Divide requests by nothing of an earlier version's weights

Cause: the credits of the weighted round robin were kept by host and prefix, by the place of a service in the list, and dropped only when the number of services changed. Up to half of the former sum went into the choice, against which each request moves by the new weights only. Services that changed places or were replaced took over each other's credits, and one with weight 0 could be chosen. After a start all nodes began with the same service.

Change: the splitter keeps one position for each route, which moves by the golden ratio of the whole range with each request and begins at random. The service whose part of the weights holds the position gets the request, so that nothing is kept that depends on weights or places.

--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -105,7 +105,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		splitter: route.NewSplitter(), registry: registry.New(), limiter: concurrency.New(),
+		splitter: newSplitter(cfg.Seed), registry: registry.New(), limiter: concurrency.New(),
 		budget: newRetryBudget(cfg.RetryBounds, cfg.StartedAt), runTimes: runTimes{},
 		peers: map[string]*peer{}, instances: map[string]string{}, outlierGroups: map[string]*outlierGroup{},
 		receipts:  newReceipts(cfg.StartedAt),
@@ -118,6 +118,11 @@
 	return n
 }
 
+// newSplitter returns a Splitter with a random source of its own.
+func newSplitter(seed uint64) *route.Splitter {
+	return route.NewSplitter(rand.New(rand.NewPCG(seed, 2)).Uint64)
+}
+
 // Table returns the routing table in force, nil if there is none yet.
 func (n *Node) Table() *route.Table { return n.table }
 
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -49,7 +49,7 @@
 			r.Split = append(r.Split, route.WeightedService{Service: string(rune('a' + i)), Weight: weight})
 			totalWeight += weight
 		}
-		s, requests := route.NewSplitter(), map[string]int{}
+		s, requests := newSplitter(1), map[string]int{}
 		n := rapid.IntRange(1, 1000).Draw(t, "requests")
 		for range n {
 			requests[s.ChooseService(r)]++
@@ -65,7 +65,7 @@
 
 func TestServiceWithZeroWeightGetsNoRequests(t *testing.T) {
 	r := &route.Route{Host: "h", Prefix: "/", Split: []route.WeightedService{{Service: "a", Weight: 0}, {Service: "b", Weight: 3}}}
-	s := route.NewSplitter()
+	s := newSplitter(1)
 	for range 50 {
 		if got := s.ChooseService(r); got != "b" {
 			t.Fatalf("chose service %s, want b", got)
