Forget what a route led to once it leads to another service

What callers saw: a route that a new version moved away from a service without room, for example one whose instances are all silent, was refused admission (503) for as long as that service had none, though its new service was idle.

Cause: the loads that a route causes at services are learned from its admitted requests, kept by the route's host and prefix, and lowered only by services in touch and by enough admitted requests. Where hardly any request is admitted, they do not fall.

Change: a table whose route leads to other services than in the table before deletes the loads of that route. They are learned anew from its next requests.

--- a/core/mesh/admission_test.go
+++ b/core/mesh/admission_test.go
@@ -143,3 +143,40 @@
 		}
 	}
 }
+
+// TestMovedRouteIsAdmittedAtItsNewService guards against a route that is refused admission for want of
+// room at the service that it led to in an earlier version of the table.
+func TestMovedRouteIsAdmittedAtItsNewService(t *testing.T) {
+	before := testRoute("b", true)
+	n, root := newFleet(t, before)[0], RouteID(before)
+	now := time.Duration(0)
+	receiveHeartbeats := func(count int, bReports bool) {
+		for range count {
+			now += HeartbeatInterval
+			n.ReceiveHeartbeat(now, "10.0.0.2", Heartbeat{
+				Incarnation: 1, Service: "a", Load: Load{Limit: 9}, Demand: []DemandStat{{Root: root, Offered: 20, Admitted: 20, Served: 20}},
+			})
+			for _, instance := range []string{"10.0.0.3", "10.0.0.4"} {
+				if bReports {
+					n.ReceiveHeartbeat(now, instance, Heartbeat{Incarnation: 1, Service: "b", Load: Load{Limit: 9}, Roots: []RootStat{{Root: root, SlotsInUse: 1, RunRate: 10}}})
+				}
+			}
+			n.UpdatePlan(now)
+		}
+	}
+	receiveHeartbeats(20, true)
+	admitMany(n, before, 100, 0)
+	receiveHeartbeats(3*maxMissedHeartbeats, false)
+	if admitted, _ := admitMany(n, before, 100, 100); admitted > 5 {
+		t.Fatalf("%d of 100 admitted while service b was silent, want at most 5", admitted)
+	}
+	moved := testRoute("b", true)
+	moved.Split = []route.WeightedService{{Service: "a", Weight: 1}}
+	table := &route.Table{Version: n.Table().Version + 1, Services: n.Table().Services, Routes: []*route.Route{moved}}
+	table.BuildIndex()
+	n.SetTable(now, table)
+	receiveHeartbeats(1, false)
+	if admitted, _ := admitMany(n, moved, 100, 200); admitted < 100 {
+		t.Errorf("%d of 100 admitted after the route moved to service a, want all", admitted)
+	}
+}
--- a/core/mesh/loads.go
+++ b/core/mesh/loads.go
@@ -1,5 +1,11 @@
 package mesh
 
+import (
+	"slices"
+
+	"github.com/shallotspool/shallotspool/core/route"
+)
+
 const (
 	// loadWeight is the weight of the newest interval in the estimated load per
 	// request, which changes more slowly than rates do.
@@ -65,6 +71,27 @@
 	}
 }
 
+// forgetMovedRoutes deletes the loads of the routes that lead to other services in next than in
+// previous, nil if there was no table. These loads limited the requests of the route by the room at
+// services that it no longer uses.
+func (a *admission) forgetMovedRoutes(previous, next *route.Table) {
+	if previous == nil {
+		return
+	}
+	services := map[uint32][]string{}
+	for _, r := range previous.Routes {
+		if id := RouteID(r); a.loads[id] != nil {
+			services[id] = r.ServiceNames()
+		}
+	}
+	for _, r := range next.Routes {
+		id := RouteID(r)
+		if before, known := services[id]; known && !slices.Equal(before, r.ServiceNames()) {
+			delete(a.loads, id)
+		}
+	}
+}
+
 func (a *admission) loadCount() (count int) {
 	for _, loads := range a.loads {
 		count += len(loads)
--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -132,6 +132,7 @@
 	if n.table != nil && t.Version <= n.table.Version {
 		return false
 	}
+	n.admission.forgetMovedRoutes(n.table, t)
 	n.table, n.tableAt = t, now
 	n.registry.SetServices(t.Lists)
 	n.RegistryChanged()
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -114,3 +114,16 @@
 
 // Key identifies the route across versions of the table.
 func (r *Route) Key() string { return r.Host + r.Prefix }
+
+// ServiceNames returns the names of the services that the route leads to, sorted. Those with weight 0
+// are left out.
+func (r *Route) ServiceNames() []string {
+	var names []string
+	for _, s := range r.Split {
+		if s.Weight > 0 {
+			names = append(names, s.Service)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
