Keep run times of routes that run now, not of the first sixteen

What callers saw: nothing by itself. Run times of a seventeenth route were never kept, also if the others ran under earlier versions of the table only: its requests were sent to upstreams and refused there without regard to how long they take, until the node restarted.

Cause: the table of run times had 16 places, and a place was never given up.

Evidence: TestRunTimesOfFormerRoutesMakeRoom fails before: no run time for the seventeenth route.

Change: 512 routes are kept; beyond that the one whose last run is longest ago gives up its place. The 16 that ran last are reported to other nodes, as many as before.

--- a/core/mesh/faults.go
+++ b/core/mesh/faults.go
@@ -164,7 +164,7 @@
 	slow := result != RunShed && result != RunUnreachable && took > n.runTimes.mean(w.Route)
 	if result == RunSucceeded || slow {
 		// A run that failed or timed out would have taken at least as long.
-		n.runTimes.observe(w.Route, took, n.runWeight(w))
+		n.runTimes.observe(w.Route, w.Started, took, n.runWeight(w))
 	}
 }
 
--- a/core/mesh/loads.go
+++ b/core/mesh/loads.go
@@ -40,7 +40,7 @@
 }
 
 // maxLoads bounds the routes and services for which loads are kept.
-const maxLoads = maxRoots * maxRunRoutes
+const maxLoads = maxRoots * maxReportedRoutes
 
 // updateLoads updates the load per request and the visits that the admitted requests of
 // each route cause at each service.
--- a/core/mesh/relay_receive.go
+++ b/core/mesh/relay_receive.go
@@ -175,7 +175,7 @@
 	}
 	h.Interval = max(h.Interval, refresh)
 	if len(s.Routes) > 0 {
-		h.Routes = slices.Clone(s.Routes[:min(len(s.Routes), maxRunRoutes)])
+		h.Routes = slices.Clone(s.Routes[:min(len(s.Routes), maxReportedRoutes)])
 	}
 	h.Load = Load{Running: int(s.Running), Queued: int(s.Queued), Limit: int(s.Limit)}
 	if now-p.loadAt > relayedLoadAge || restarted {
--- a/core/mesh/run_times.go
+++ b/core/mesh/run_times.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -14,8 +16,10 @@
 	runTrialInterval = 500 * time.Millisecond
 	// defaultRunTime is the assumed run time of a route without observations.
 	defaultRunTime = 50 * time.Millisecond
-	// maxRunRoutes bounds the routes for which run times are kept and reported.
-	maxRunRoutes = 16
+	// maxRunRoutes bounds the routes for which run times are kept, and maxReportedRoutes those
+	// that are reported to other nodes.
+	maxRunRoutes      = 512
+	maxReportedRoutes = 16
 )
 
 // runTimes holds what is known of the runs of each route at the local upstream.
@@ -25,7 +29,7 @@
 type routeRuns struct {
 	// mean is the smoothed mean run time.
 	mean time.Duration
-	// triedAt is when a run last started or a trial was offered. trial is the ID of the work
+	// triedAt is when a run last started, or a trial was offered. trial is the ID of the work
 	// that is the open trial, 0 if there is none.
 	triedAt time.Duration
 	trial   uint64
@@ -33,15 +37,25 @@
 	refused bool
 }
 
-// observe adds a run that took a time. weight is that of the run in the mean.
-func (r runTimes) observe(routeID uint32, took time.Duration, weight float64) {
-	runs := r[routeID]
-	switch {
-	case runs != nil:
+// observe adds a run that started at a time and took another. weight is that of the run in the
+// mean. If there is no room for the route, it takes that of the one whose last run is longest ago.
+func (r runTimes) observe(routeID uint32, started, took time.Duration, weight float64) {
+	if runs := r[routeID]; runs != nil {
 		runs.mean += time.Duration(weight * float64(took-runs.mean))
-	case len(r) < maxRunRoutes:
-		r[routeID] = &routeRuns{mean: took}
+		return
+	}
+	if len(r) >= maxRunRoutes {
+		byRecency := r.byRecency()
+		delete(r, byRecency[len(byRecency)-1])
 	}
+	r[routeID] = &routeRuns{mean: took, triedAt: started}
+}
+
+// byRecency returns the routes, the one that ran last first.
+func (r runTimes) byRecency() []uint32 {
+	return slices.SortedFunc(maps.Keys(r), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(r[b].triedAt, r[a].triedAt), cmp.Compare(a, b))
+	})
 }
 
 // recordStart records that a run of a route starts.
@@ -87,10 +101,12 @@
 	return cmp.Or(r.known(routeID), defaultRunTime)
 }
 
+// stats returns the mean run times of the routes that ran last.
 func (r runTimes) stats() []RouteStat {
-	out := make([]RouteStat, 0, len(r))
-	for routeID, runs := range r {
-		out = append(out, RouteStat{Route: routeID, RunTime: runs.mean})
+	routes := r.byRecency()
+	out := make([]RouteStat, 0, maxReportedRoutes)
+	for _, routeID := range routes[:min(len(routes), maxReportedRoutes)] {
+		out = append(out, RouteStat{Route: routeID, RunTime: r[routeID].mean})
 	}
 	return out
 }
--- a/core/mesh/run_times_test.go
+++ b/core/mesh/run_times_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -161,3 +162,27 @@
 		t.Errorf("%d of 20 requests served beside %d of another route, want all", l.served[id], l.served[other])
 	}
 }
+
+// TestRunTimesOfFormerRoutesMakeRoom guards against routes whose run times are never kept or reported,
+// because routes that ran before, as under earlier versions of the table, take the room.
+func TestRunTimesOfFormerRoutesMakeRoom(t *testing.T) {
+	n := newFleet(t, testRoute("a", true))[0]
+	run := func(at time.Duration, name string) uint32 {
+		id := RouteID(testRoute(name, true))
+		w := Work{ID: uint64(at), Route: id, Deadline: at + time.Minute, Started: at}
+		n.OfferWork(at, w)
+		n.WorkDone(at+normalRun, w, normalRun, RunSucceeded)
+		return id
+	}
+	now := time.Duration(0)
+	for i := range maxRunRoutes + maxReportedRoutes {
+		now += time.Second
+		id := run(now, fmt.Sprintf("route-%d", i))
+		if got := n.runTimes.known(id); got != normalRun {
+			t.Fatalf("route %d: mean run time %v, want %v", i, got, normalRun)
+		}
+		if stats := n.Heartbeat(now).Routes; len(stats) > maxReportedRoutes || stats[0].Route != id {
+			t.Fatalf("run times %v in a heartbeat, want at most %d, the newest first", stats, maxReportedRoutes)
+		}
+	}
+}
