Judge the time for a retry by the fastest upstream

What callers saw: a request whose attempt had failed was not sent again though another upstream would have had time for it, as long as one upstream of the service reported the run time of an earlier slow phase. That one gets no requests while others have room, so that its figure does not change.

Cause: the time that a retry must have left was half of the mean over all upstreams.

Evidence: TestRetryIsAllowedBesideFormerlySlowUpstream fails before: no second attempt with a second left beside upstreams of 20 ms and, once, 5 s.

Change: half of the least run time that an upstream of the service reports. The budget of retries bounds them as before.

--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -115,9 +115,9 @@
 }
 
 // minTimeLeft returns the time before the deadline that is required to start another
-// run of c.
+// run of c at the upstream that takes the least.
 func (n *Node) minTimeLeft(c *Call) time.Duration {
-	return time.Duration(minRunShare * float64(n.meanRunTime(c.RouteID, c.Service)))
+	return time.Duration(minRunShare * float64(n.leastRunTime(c.RouteID, c.Service)))
 }
 
 // resend sends c to another upstream, or ends it with outcome o if there is none.
--- a/core/mesh/budget_test.go
+++ b/core/mesh/budget_test.go
@@ -267,3 +267,19 @@
 	}
 	return count
 }
+
+// TestRetryIsAllowedBesideFormerlySlowUpstream guards against requests that are never sent again, because
+// one upstream of the service reports the run time of a slow phase: it gets no requests that would
+// change that.
+func TestRetryIsAllowedBesideFormerlySlowUpstream(t *testing.T) {
+	n := newFleet(t, testRoute("a", true))[3]
+	learnNoDownstreamCalls(n)
+	for instance, runTime := range map[string]time.Duration{"10.0.0.1": 20 * time.Millisecond, "10.0.0.2": 5 * time.Second} {
+		n.ReceiveHeartbeat(time.Second, instance, Heartbeat{Incarnation: 1, Service: "a", Load: Load{Limit: 9},
+			Routes: []RouteStat{{Route: RouteID(testRoute("a", true)), RunTime: runTime}}})
+	}
+	c, _ := n.StartCall(time.Second, IncomingRequest{ID: "1", Host: "h", Path: "/a/1", Timeout: time.Second})
+	if step := n.EndAttempt(time.Second, c, Outcome{Kind: OutcomeUnknown, Reason: ReasonLost, ReachedUpstream: true}); step.Kind != StepSend {
+		t.Errorf("step %+v with a second left, want another attempt", step)
+	}
+}
--- a/core/mesh/run_times.go
+++ b/core/mesh/run_times.go
@@ -137,6 +137,20 @@
 	return sum / count
 }
 
+// leastRunTime returns the least mean run time of a route among the instances of a service that
+// reported one.
+func (n *Node) leastRunTime(routeID uint32, service string) time.Duration {
+	least := time.Duration(0)
+	for _, u := range n.registry.ServiceUpstreams(service) {
+		if p := n.peers[u.Instance]; p != nil {
+			if mean := n.reportedRunTime(routeID, p); mean > 0 && (least == 0 || mean < least) {
+				least = mean
+			}
+		}
+	}
+	return cmp.Or(least, defaultRunTime)
+}
+
 // reportedRunTime returns the mean run time of a route at an instance as reported by it,
 // or as measured here for the local upstream, 0 if there is none.
 func (n *Node) reportedRunTime(routeID uint32, p *peer) time.Duration {
