Show that no form of status 000 is taken for an answer

The tests lacked forms of it.

Between nodes: without a reason, in chunks, as an interim head, and as the answer to the question whether a request has arrived.

--- a/ctl/internal/client/client_test.go
+++ b/ctl/internal/client/client_test.go
@@ -44,12 +44,16 @@
 	const rest = "Content-Length: 2\r\n\r\n{}"
 	c := client.New(10 * time.Second)
 	for text, detail := range map[string]string{
-		"HTTP/1.1 000 OK\r\n" + rest:                                                          "status that is not 100 to 999",
+		"HTTP/1.1 000 OK\r\n" + rest: "status that is not 100 to 999",
+		"HTTP/1.1 000\r\n" + rest:    "status that is not 100 to 999",
+		"HTTP/1.1 000 OK\r\n\r\n{}":  "status that is not 100 to 999",
+		"HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n":           "status that is not 100 to 999",
+		"HTTP/1.1 000\r\n\r\nHTTP/1.1 200 OK\r\n" + rest:                                      "status that is not 100 to 999",
 		"HTTP/1.1 200 OK\r\nX A: b\r\n" + rest:                                                "byte 0x20 at 1 in the name of a field",
 		"HTTP/1.1 200 OK\r\nX\x01A: b\r\n" + rest:                                             "byte 0x01 at 1 in the name of a field",
 		"HTTP/1.1 103 Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n" + rest:                      "byte 0x20 at 1 in the name of a field",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX A: b\r\n\r\n": "trailer has byte 0x20",
-		"no response\r\n\r\n":                                                                 "does not start with HTTP/1.",
+		"no response\r\n\r\n": "does not start with HTTP/1.",
 	} {
 		got := c.FetchStatuses(context.Background(), []string{serve(t, text)})[0]
 		var malformed *response.MalformedError
--- a/node/sidecar/malformed_response_test.go
+++ b/node/sidecar/malformed_response_test.go
@@ -122,6 +122,11 @@
 	const received, whole = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nreceived", "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nShallot-Result: 1 1 none\r\n"
 	for name, c := range map[string]struct{ fenceResponse, text string }{
 		"status 000":          {received, strings.ReplaceAll(whole, "200", "000") + malformedFramings["length"]},
+		"no reason":           {received, strings.ReplaceAll(whole, "200 OK", "000") + malformedFramings["until closed"]},
+		"status 000, chunks":  {received, strings.ReplaceAll(whole, "200", "000") + malformedFramings["chunks"]},
+		"interim 000":         {received, "HTTP/1.1 000\r\n\r\n" + whole + malformedFramings["length"]},
+		"fence, no reason":    {"HTTP/1.1 000\r\nContent-Length: 6\r\n\r\nfenced", ""},
+		"fence until closed":  {"HTTP/1.1 000 OK\r\n\r\nfenced", ""},
 		"blank in a name":     {received, whole + "X A: b\r\n" + malformedFramings["length"]},
 		"blank in trailer":    {received, whole + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX A: b\r\n\r\n"},
 		"length not a length": {received, whole + "Content Length: 6\r\n\r\nbroken"},
