Count ejections of the upstreams that a service has now

What callers saw: after ejected upstreams had left, others of the service that failed were not ejected and got requests that failed, until the node restarted.

Cause: at most half of the upstreams of a service may be ejected. The count of those ejected went down only when one was readmitted, not when it left.

Evidence: TestEjectionsOfFormerUpstreamsDoNotCount fails before: an upstream that gives no answer is not ejected after another, ejected one has left.

Change: when registrations change, the ejected upstreams of each service are counted anew.

Result: the test passes, with those of ejections, upstreams, silent nodes and sessions.

--- a/core/mesh/node.go
+++ b/core/mesh/node.go
@@ -152,6 +152,7 @@
 	n.digest = registryDigest(n.registry)
 	n.registry.ForEachInstance(func(u *registry.Upstream) { n.instances[u.Instance] = u.DataCentre })
 	n.byDataCentre = inRelayOrder(n.instances)
+	n.recountEjections()
 	if ownRegistration := n.ownRegistration(); ownRegistration != nil {
 		if ownRegistration.ID != n.ownRegistrationID || ownRegistration.Born != n.ownRegistrationBorn {
 			n.ownRegistrationID, n.ownRegistrationBorn = ownRegistration.ID, ownRegistration.Born
--- a/core/mesh/pick.go
+++ b/core/mesh/pick.go
@@ -57,6 +57,22 @@
 	return g
 }
 
+// recountEjections counts the ejected upstreams of each service anew, after upstreams have joined or
+// left.
+func (n *Node) recountEjections() {
+	for service, g := range n.outlierGroups {
+		list := n.registry.ServiceUpstreams(service)
+		g.targets = outlier.Group{Size: len(list)}
+		counted := map[*peer]bool{}
+		for _, u := range list {
+			if p := n.peers[u.Instance]; p != nil && !counted[p] {
+				counted[p] = true
+				p.outlier.Join(&g.targets)
+			}
+		}
+	}
+}
+
 // pickUpstream chooses the upstream for the next attempt of c, nil if there is none. It
 // prefers an ejected one that is due for a probe, then for a few calls a faulty one to
 // retest, then the cheapest eligible one, then the cheapest usable one.
--- a/core/mesh/pick_test.go
+++ b/core/mesh/pick_test.go
@@ -76,3 +76,28 @@
 		}
 	}
 }
+
+// TestEjectionsOfFormerUpstreamsDoNotCount guards against upstreams that fail and are not ejected, because
+// ejected ones that have left still count as the part of the service that may be ejected.
+func TestEjectionsOfFormerUpstreamsDoNotCount(t *testing.T) {
+	n := newFleet(t, testRoute("a", true))[3]
+	fail := func(instance string) {
+		for range 40 {
+			c, step := n.StartCall(0, IncomingRequest{ID: "r", Host: "h", Path: "/a/1"})
+			o := Outcome{Kind: OutcomeAnswered, Status: 200, ReachedUpstream: true}
+			if step.Target.Instance == instance {
+				o = Outcome{Kind: OutcomeUnknown, Reason: ReasonDeadline, ReachedUpstream: true, NodeSilent: true}
+			}
+			n.EndAttempt(c.Deadline, c, o)
+		}
+		if !n.peer(instance).outlier.Ejected() {
+			t.Errorf("%s fails and is not ejected", instance)
+		}
+	}
+	fail("10.0.0.1")
+	next := *testRegistrations()[0].Upstream
+	next.ID, next.Instance, next.Address, next.Revision = "i-next", "10.0.0.9", "10.0.0.9:80", 21
+	n.Registry().Apply(0, []registry.Change{{ID: "i-10.0.0.1", Revision: 20}, {ID: next.ID, Revision: 21, Upstream: &next}})
+	n.RegistryChanged()
+	fail("10.0.0.9")
+}
