Test the limit of bodies, sized and in chunks, at the limit and beyond it

Nothing was at fault: bodies with a length and in chunks, with chunk extensions and a trailer of 3 KB, are served at the limit and get 413 one byte beyond it, for three limits.

--- a/node/internal/listener/header_limit_test.go
+++ b/node/internal/listener/header_limit_test.go
@@ -1,6 +1,7 @@
 package listener_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -67,3 +68,32 @@
 		}
 	}
 }
+
+// TestBodyIsLimitedAsSent guards against a body within the limit that is refused, or one beyond it that is
+// accepted, because of its chunks or its trailer.
+func TestBodyIsLimitedAsSent(t *testing.T) {
+	for _, limit := range []int{1, 5000, 100_000} {
+		_, address := start(t, listener.Limits{MaxBodyBytes: limit}, echo)
+		for beyond, want := range []int{200, 413} {
+			body := strings.Repeat("b", limit+beyond)
+			first, last := body[:len(body)/2], body[len(body)/2:]
+			chunks := ""
+			for _, chunk := range []string{first, last} {
+				if chunk != "" {
+					chunks += fmt.Sprintf("%x;ext=1\r\n%s\r\n", len(chunk), chunk)
+				}
+			}
+			for name, text := range map[string]string{
+				"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+				"chunks": "Transfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\nChecksum: " + strings.Repeat("s", 3000) + "\r\n\r\n",
+			} {
+				conn, in := dial(t, address)
+				send(t, conn, "PUT /x HTTP/1.1\r\nHost: h\r\n"+text)
+				if status, got, _ := receive(t, in); status != want || want == 200 && got != body {
+					t.Errorf("limit %d, %s, %d bytes beyond it: got status %d, want %d", limit, name, beyond, status, want)
+				}
+				_ = conn.Close()
+			}
+		}
+	}
+}
