Wait for what each node of a test knows, not for a number of lines

The set-up of the tests of node/sidecar waited for exactly nine lines "upstream registered" with three nodes.

Change: the pairs of node and upstream in these lines are counted. Every node still has to have registered every upstream, so that nothing is eased.

--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -194,14 +195,25 @@
 		service, ip, _ := strings.Cut(text, "/")
 		f.register(service, ip, false)
 	}
-	registrations := len(instances) * len(instances)
-	f.eventually("all upstreams known to all nodes", func() bool { return strings.Count(f.logs.String(), "upstream registered") == registrations })
+	f.eventually("all upstreams known to all nodes", func() bool { return f.knownUpstreams() == len(instances)*len(instances) })
 	for ip := range f.sidecars {
 		f.eventually("ready", func() bool { return f.ready(ip) })
 	}
 	return f
 }
 
+var registeredPattern = regexp.MustCompile(`msg="upstream registered".* node=(\S+) .* upstream=(\S+)`)
+
+// knownUpstreams returns the number of pairs of a node and an upstream that it has registered. A node
+// that learns of an upstream from the store and from another node logs it twice.
+func (f *fleet) knownUpstreams() int {
+	pairs := map[[2]string]bool{}
+	for _, match := range registeredPattern.FindAllStringSubmatch(f.logs.String(), -1) {
+		pairs[[2]string{match[1], match[2]}] = true
+	}
+	return len(pairs)
+}
+
 func testTable(version route.Version) *route.Table {
 	t := &route.Table{Version: version, Services: map[string]route.Service{"deep": {Name: "deep"}}, Routes: []*route.Route{
 		{Name: "read", Host: "h", Prefix: "/read/", Idempotent: true, MaxAttempts: 2, Timeout: 5 * time.Second,
