--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -73,7 +73,7 @@
 // Limits are the limits on requests and connections. 0 means the default.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes are the maximum sizes of a request's header
-	// and body.
+	// and body, as the caller sends them. MaxHeaderBytes is also that of a trailer.
 	MaxHeaderBytes, MaxBodyBytes int
 	// HeaderTimeout is how long a caller may take to send a header, and
 	// IdleTimeout how long a connection without an open request is kept.
