--- a/node/daemon/header_limit_test.go
+++ b/node/daemon/header_limit_test.go
@@ -15,11 +15,12 @@
 	"github.com/shallotspool/shallotspool/node/internal/rawserver"
 )
 
-// headOfSize extends head by short fields and ends it, so that it has size bytes or a few less. Nodes
-// write such a head longer, with a blank after each colon.
+// headOfSize extends head by short fields and ends it, so that it has size bytes. Nodes write such a
+// head longer, with a blank after each colon.
 func headOfSize(head string, size int) string {
 	const field, end = "A:\r\n", "\r\n"
-	return head + strings.Repeat(field, (size-len(head)-len(end))/len(field)) + end
+	left := size - len(head) - len(end)
+	return head + strings.Repeat(field, left/len(field)-1) + "A:" + strings.Repeat("a", left%len(field)) + "\r\n" + end
 }
 
 // TestLargestHeadersPassBetweenNodes guards against a request or an answer whose header is within the
@@ -65,5 +66,9 @@
 			}
 			_ = conn.Close()
 		}
+		tooLarge := headOfSize(request, 16<<10+1)
+		if got := sendRaw(t, f.nodes[entry].settings.ListenCallers.String(), tooLarge); !strings.HasPrefix(got, "HTTP/1.1 431 ") {
+			t.Errorf("header one byte beyond the limit at %s: got %.60q, want 431", entry, got)
+		}
 	}
 }
