Let the test of bodies without end send its last request until it is sent

The last request of the test enters at the node that has the upstream, right after twelve long or endless responses and fifty small requests.

Cause: the test, which takes that request for one that is always sent. A node whose share of the service is small refuses it before anything is sent, as the test allows for the fifty requests before it.

Change: a refused request must say when to come back and must not have reached an upstream, and is sent again; the one that is sent must get 502 or 504 as before.

--- a/node/sidecar/fleet_test.go
+++ b/node/sidecar/fleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -364,6 +365,39 @@
 	return c.receive()
 }
 
+// requestUntilSent sends requests for path to a node, with IDs that begin with id, until one of them is not
+// refused, and returns its response. It checks that those refused say when to come back, and were sent nowhere.
+func (f *fleet) requestUntilSent(ip, path, id string) (got callerResponse) {
+	f.t.Helper()
+	try := 0
+	f.eventually("a request for "+path+" is not refused", func() bool {
+		try++
+		tryID := fmt.Sprintf("%s-%d", id, try)
+		got = f.caller(ip).request("GET", path, tryID)
+		if got.status != fasthttp.StatusServiceUnavailable {
+			return true
+		}
+		if got.header["Retry-After"] == "" {
+			f.t.Errorf("%s was refused without Retry-After", tryID)
+		}
+		f.expectNothingReceived(tryID)
+		return false
+	})
+	return got
+}
+
+// expectNothingReceived checks that no upstream has received a request with one of these IDs.
+func (f *fleet) expectNothingReceived(ids ...string) {
+	f.t.Helper()
+	for ip, u := range f.upstreams {
+		for _, received := range u.receivedRequests() {
+			if id, _, _ := strings.Cut(received, " "); slices.Contains(ids, id) {
+				f.t.Errorf("the upstream at %s received %q", ip, received)
+			}
+		}
+	}
+}
+
 // responseMemory returns the memory that the responses held by a node take, in bytes.
 func (f *fleet) responseMemory(ip string) int {
 	_, text, err := fasthttp.Get(nil, "http://"+f.address(ip, metricsPort)+"/metrics")
--- a/node/sidecar/requests_test.go
+++ b/node/sidecar/requests_test.go
@@ -393,7 +393,7 @@
 		t.Error("no request was served beside endless ones")
 	}
 	// A slow machine reaches the deadline before it has read too much.
-	if got := f.caller(deep).request("GET", "/read/endless", "e"); got.status != 502 && got.status != 504 {
+	if got := f.requestUntilSent(deep, "/read/endless", "e"); got.status != 502 && got.status != 504 {
 		t.Errorf("got status %d for a body without end, want 502 or 504", got.status)
 	}
 	for _, c := range notReading {
