Write interim responses in the order of a connection

Cause: the goroutine that reads requests wrote the interim response to the socket, while the goroutine that writes responses could be between two writes of one.

Change: the interim response is an entry of the queue of the connection, so that it is written behind the responses that are due, and not at all behind the last one. A request without a body gets none.

--- a/node/internal/listener/body.go
+++ b/node/internal/listener/body.go
@@ -31,7 +31,7 @@
 	maxBytes := limits.MaxBodyBytes
 	length := x.Request.Header.ContentLength()
 	if length == noBody || length == 0 {
-		return c.allowBody(x)
+		return nil
 	}
 	if length > maxBytes {
 		return &requestError{status: fasthttp.StatusRequestEntityTooLarge, bodyUnread: true}
@@ -65,9 +65,7 @@
 		latest = until
 	}
 	c.setReadDeadline(latest)
-	if err := c.allowBody(x); err != nil {
-		return err
-	}
+	c.allowBody(x)
 	if length > 0 {
 		read, err := reader.ReadSized(length)
 		x.Request.SetBodyRaw(read)
@@ -82,13 +80,12 @@
 	return nil
 }
 
-// allowBody tells a caller that waits for it to send the body.
-func (c *conn) allowBody(x *Exchange) error {
-	if !x.Request.MayContinue() {
-		return nil
+// allowBody tells a caller that waits for it to send the body, once the responses to its earlier requests
+// are written.
+func (c *conn) allowBody(x *Exchange) {
+	if x.Request.MayContinue() {
+		c.pipeline <- output{}
 	}
-	_, err := c.raw.Write(continueResponse)
-	return err
 }
 
 // classifyBodyError returns a *requestError if a body is invalid, too large, too slow or finds no
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -23,9 +23,9 @@
 	// disconnects or the connection ends.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// pipeline holds the requests that wait behind the one whose response is
-	// written next. The reader blocks while it is full.
-	pipeline chan *Exchange
+	// pipeline holds what is to be written behind the response that is written next. The reader
+	// blocks while it is full.
+	pipeline chan output
 
 	// lingers is set if the caller may still be sending what is not read, and closesDrained if
 	// the last response closes the connection because the listener drains, so that the caller may
@@ -46,8 +46,12 @@
 	giveUp bool
 }
 
+// output is what is written to a connection at a time: the response to a request, or the interim one
+// that allows a caller to send a body, if exchange is nil.
+type output struct{ exchange *Exchange }
+
 func newConn(l *Listener, raw net.Conn) *conn {
-	c := &conn{l: l, raw: raw, pipeline: make(chan *Exchange, maxPipelined)}
+	c := &conn{l: l, raw: raw, pipeline: make(chan output, maxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	if tcp, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
 		c.remote = tcp.AddrPort().Addr().Unmap()
@@ -112,7 +116,7 @@
 		x.finish()
 		return false
 	}
-	c.pipeline <- x
+	c.pipeline <- output{x}
 	c.l.cfg.Go(func() {
 		defer close(x.done)
 		c.l.cfg.Handler(c.ctx, x)
@@ -138,7 +142,7 @@
 	}
 	x.Response.SetConnectionClose()
 	close(x.done)
-	c.pipeline <- x
+	c.pipeline <- output{x}
 }
 
 // watchDisconnect cancels the handlers if the caller disconnects after its last
@@ -347,31 +351,27 @@
 }
 
 // writeResponses writes the responses in the order of their requests, each once
-// its handler has returned. It discards the remaining ones after a failed write,
+// its handler has returned. Nothing else writes to the connection. It discards the remaining ones after a failed write,
 // after a response that closes the connection and once the context is cancelled.
 func (c *conn) writeResponses() {
 	out := bufio.NewWriterSize(c.raw, bufferBytes)
 	stopped := false
-	for x := range c.pipeline {
-		<-x.done
-		if stopped || c.ctx.Err() != nil {
-			x.finish()
-			c.removeOpenRequest()
-			continue
+	for next := range c.pipeline {
+		x := next.exchange
+		if x != nil {
+			<-x.done
 		}
-		c.closesDrained = c.stopIfDrained()
-		if x.callerCloses || c.closesDrained {
-			x.Response.SetConnectionClose()
+		closes := false
+		switch discard := stopped || c.ctx.Err() != nil; {
+		case x == nil && !discard:
+			closes = c.writeInterim(out) != nil
+		case x != nil && !discard:
+			closes = c.writeResponse(out, x)
 		}
-		x.Response.SkipBody = x.isHead
-		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		err := x.Response.Write(out)
-		if err == nil {
-			err = out.Flush()
+		if x != nil {
+			x.finish()
+			c.removeOpenRequest()
 		}
-		closes := err != nil || x.Response.ConnectionClose()
-		x.finish()
-		c.removeOpenRequest()
 		if closes {
 			stopped = true
 			c.stopReading()
@@ -379,6 +379,30 @@
 	}
 }
 
+// writeResponse writes the response to x, and reports whether it was the last one of the connection.
+func (c *conn) writeResponse(out *bufio.Writer, x *Exchange) (closes bool) {
+	c.closesDrained = c.stopIfDrained()
+	if x.callerCloses || c.closesDrained {
+		x.Response.SetConnectionClose()
+	}
+	x.Response.SkipBody = x.isHead
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := x.Response.Write(out)
+	if err == nil {
+		err = out.Flush()
+	}
+	return err != nil || x.Response.ConnectionClose()
+}
+
+// writeInterim writes the response that allows the caller to send the body of its last request.
+func (c *conn) writeInterim(out *bufio.Writer) error {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := out.Write(continueResponse); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
