Split the reader of responses into what requests share and what they do not

No change of behaviour, and nothing that callers see. core/response becomes core/http1: the reader of the parts of a message in order, fields and framing are apart from status lines, so that a reader of requests can use them. Errors have the same text. The tests of core/response pass as they were, under new names.

--- a/core/response/head.go
+++ b/core/http1/head.go
@@ -1,4 +1,4 @@
-package response
+package http1
 
 import (
 	"bytes"
@@ -8,29 +8,17 @@
 
 // The parts that a MalformedError names.
 const (
-	statusLinePart = "status line"
-	headPart       = "head"
-	chunkSizePart  = "chunk size"
-	chunkEndPart   = "end of chunk"
-	trailerPart    = "trailer"
+	statusLinePart  = "status line"
+	requestLinePart = "request line"
+	headPart        = "head"
+	chunkSizePart   = "chunk size"
+	chunkEndPart    = "end of chunk"
+	trailerPart     = "trailer"
 )
 
-var (
-	protocolPrefix = []byte("HTTP/1.")
-	lineEnd        = []byte("\r\n")
-)
+var lineEnd = []byte("\r\n")
 
-// The statuses that decide what follows a head. minFinal is the lowest that is not interim.
 const (
-	minStatus          = 100
-	switchingProtocols = 101
-	minFinal           = 200
-	noContent          = 204
-	notModified        = 304
-)
-
-const (
-	statusDigits = 3
 	// maxSizeDigits and maxLengthDigits limit the digits of a chunk size and of a Content-Length.
 	maxSizeDigits   = 16
 	maxLengthDigits = 19
@@ -38,62 +26,45 @@
 	maxTextBytes = 64
 )
 
-// MalformedError says what is malformed in a response.
+// MalformedError says what is malformed in a message.
 type MalformedError struct {
-	// Part is the part of the response, Detail what is wrong with it.
-	Part, Detail string
+	// Kind is "request" or "response". Part is the part of the message, Detail what is wrong with it.
+	Kind, Part, Detail string
+	// TooLong is set if a part exceeds its limit, and OtherVersion if a request has another major
+	// version than 1.
+	TooLong, OtherVersion bool
 	// Text is the beginning of the malformed text, at most 64 bytes. It holds no value of a field.
 	Text []byte
 }
 
 // Error implements error.
 func (e *MalformedError) Error() string {
-	text := "malformed response: " + e.Part + " " + e.Detail
+	text := "malformed " + e.Kind + ": " + e.Part + " " + e.Detail
 	if len(e.Text) > 0 {
 		text += fmt.Sprintf(": %q", e.Text)
 	}
 	return text
 }
 
+// FieldsTooLong reports whether a head or a trailer exceeds its limit.
+func (e *MalformedError) FieldsTooLong() bool { return e.TooLong && e.Part != chunkSizePart }
+
 func malformed(part, detail string, text []byte) error {
 	return &MalformedError{Part: part, Detail: detail, Text: bytes.Clone(text[:min(len(text), maxTextBytes)])}
 }
 
-// framing says where a response ends (RFC 9112, section 6.3).
+// framing says where a message ends (RFC 9112, section 6.3).
 type framing struct {
-	status int
 	http11 bool
 	// hasLength means that length is set.
 	hasLength, chunked bool
 	length             uint64
+	// chunkedOverrides accepts a length beside chunks, which have priority.
+	chunkedOverrides bool
 }
 
-// parseStatusLine checks a status line, of which the reason phrase and the blank before it may
-// be missing.
-func parseStatusLine(line []byte) (f framing, err error) {
-	fail := func(detail string) (framing, error) { return f, malformed(statusLinePart, detail, line) }
-	version, rest, _ := bytes.Cut(line, []byte{' '})
-	switch string(version) {
-	case "HTTP/1.1":
-		f.http11 = true
-	case "HTTP/1.0":
-	default:
-		return fail("has a version that is not supported")
-	}
-	code, reason, _ := bytes.Cut(rest, []byte{' '})
-	number, ok := parseDecimal(code, statusDigits)
-	if !ok || len(code) != statusDigits || number < minStatus {
-		return fail("has a status that is not 100 to 999")
-	}
-	if invalidValueByte(reason) >= 0 {
-		return fail("has a control byte in the reason phrase")
-	}
-	f.status = int(number)
-	return f, nil
-}
-
-// add adds a field of the head.
-func (f *framing) add(name, value []byte) error {
+// addField adds a field of the head that may state a length.
+func (f *framing) addField(name, value []byte) error {
 	switch {
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		return f.addLength(name, value)
@@ -108,7 +79,7 @@
 	switch {
 	case f.hasLength:
 		return malformed(headPart, "repeats a field", name)
-	case f.chunked:
+	case f.chunked && !f.chunkedOverrides:
 		return malformed(headPart, "states a length and an encoding", name)
 	case !ok:
 		return malformed(headPart, "has a length that is not a decimal number", name)
@@ -121,7 +92,7 @@
 	switch {
 	case f.chunked:
 		return malformed(headPart, "repeats a field", name)
-	case f.hasLength:
+	case f.hasLength && !f.chunkedOverrides:
 		return malformed(headPart, "states a length and an encoding", name)
 	case !f.http11:
 		return malformed(headPart, "states an encoding, which HTTP/1.0 does not have", name)
@@ -132,25 +103,6 @@
 	return nil
 }
 
-// next returns what follows the head, and the length of a body of known length.
-func (f *framing) next(toHead, allowUpgrade bool) (state, uint64, error) {
-	switch {
-	case f.status == switchingProtocols && !allowUpgrade:
-		return beforeHead, 0, malformed(statusLinePart, "has status 101, which was not requested", nil)
-	case f.status == switchingProtocols:
-		return toEnd, 0, nil
-	case f.status < minFinal, f.status == noContent, f.status == notModified, toHead:
-		return beforeHead, 0, nil
-	case f.chunked:
-		return beforeChunk, 0, nil
-	case !f.hasLength:
-		return toEnd, 0, nil
-	case f.length == 0:
-		return beforeHead, 0, nil
-	}
-	return inBody, f.length, nil
-}
-
 // parseField checks a field line of part, which is not empty, and splits it (RFC 9112, section 5). A name has no blank
 // before the colon, and a value no continuation lines.
 func parseField(part string, line []byte) (name, value []byte, err error) {
--- a/core/response/reader.go
+++ b/core/http1/reader.go
@@ -1,6 +1,6 @@
-// Package response checks HTTP/1.1 responses (RFC 9112) on their way from a connection to the
-// code that interprets them. Nothing of a malformed head, chunk size or trailer gets past it.
-package response
+// Package http1 checks HTTP/1.1 requests and responses (RFC 9112) on their way from a connection to
+// the code that interprets them. Nothing of a malformed head, chunk size or trailer gets past it.
+package http1
 
 import (
 	"bufio"
@@ -17,11 +17,11 @@
 	maxChunkLineBytes = 4 << 10
 )
 
-// state says which part of a response comes next.
+// state says which part of a message comes next.
 type state uint8
 
 const (
-	// beforeHead is also the state between two responses.
+	// beforeHead is also the state between two messages.
 	beforeHead state = iota
 	inBody
 	beforeChunk
@@ -32,25 +32,32 @@
 	toEnd
 )
 
-// Options determine which responses a Reader accepts.
-type Options struct {
-	// MaxHeadBytes is the maximum size of a head, and that of a trailer, in bytes.
-	MaxHeadBytes int
-	// AllowUpgrade accepts status 101. All bytes after such a head are passed on unchecked.
-	AllowUpgrade bool
+// head checks the heads of one kind of message.
+type head interface {
+	// kind and firstLinePart name the messages and their first line in errors.
+	kind() string
+	firstLinePart() string
+	// expectStart fails as soon as the first bytes show that no message follows.
+	expectStart(in *bufio.Reader) error
+	// addFirstLine begins another head, and addField adds a field to it.
+	addFirstLine(line []byte) error
+	addField(name, value []byte) error
+	// next returns what follows the head, and the length of a body of known length.
+	next() (state, uint64, error)
+	// passesTrailers reports whether the fields of trailers are passed on.
+	passesTrailers() bool
 }
 
-// Reader reads a series of responses and passes them on unchanged. A head, the line before a
-// chunk and a trailer are passed on once they have been read whole and are well-formed.
+// reader reads a series of messages and passes them on. A head, the line before a chunk and a trailer
+// are passed on once they have been read whole and are well-formed.
 //
-// Its error is a *MalformedError, io.EOF between two responses or at the end of one without a
+// Its error is a *MalformedError, io.EOF between two messages or at the end of one without a
 // length, io.ErrUnexpectedEOF elsewhere, or another one of the connection. After an error
 // all reads fail with it.
-type Reader struct {
-	in   *bufio.Reader
-	opts Options
-	// toHead means that the next response has no body, as its request is HEAD.
-	toHead bool
+type reader struct {
+	in           *bufio.Reader
+	head         head
+	maxHeadBytes int
 
 	state state
 	// left is the number of bytes left of the body or of the chunk.
@@ -60,26 +67,21 @@
 	err            error
 }
 
-// NewReader returns a Reader of the responses in in.
-func NewReader(in io.Reader, opts Options) *Reader {
-	return &Reader{in: bufio.NewReaderSize(in, readBufferBytes), opts: opts}
+func newReader(in io.Reader, head head, maxHeadBytes int) reader {
+	return reader{in: bufio.NewReaderSize(in, readBufferBytes), head: head, maxHeadBytes: maxHeadBytes}
 }
 
-// ExpectResponse announces the request to which the following responses belong: one with
-// method HEAD, or another one.
-func (r *Reader) ExpectResponse(toHead bool) { r.toHead = toHead }
-
-// Idle reports whether the last response has been read to its end, nothing follows it and no read
-// has failed, so that the connection can carry another request.
-func (r *Reader) Idle() bool {
+// Idle reports whether the last message has been read to its end, nothing follows it and no read
+// has failed, so that the connection can carry another one.
+func (r *reader) Idle() bool {
 	return r.state == beforeHead && r.err == nil && len(r.pending) == 0 && r.in.Buffered() == 0
 }
 
 // Err returns the error with which all further reads fail, nil if there is none.
-func (r *Reader) Err() error { return r.err }
+func (r *reader) Err() error { return r.err }
 
 // Read implements io.Reader.
-func (r *Reader) Read(p []byte) (int, error) {
+func (r *reader) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
@@ -91,8 +93,8 @@
 		case inBody, inChunk, toEnd:
 			return r.readBody(p)
 		}
-		if r.err = r.readPart(); r.err != nil {
-			return 0, r.err
+		if err := r.readPart(); err != nil {
+			return 0, err
 		}
 	}
 	n := copy(p, r.pending)
@@ -101,7 +103,7 @@
 }
 
 // readBody reads bytes of a body, which are not checked.
-func (r *Reader) readBody(p []byte) (int, error) {
+func (r *reader) readBody(p []byte) (int, error) {
 	if r.state == toEnd {
 		n, err := r.in.Read(p)
 		r.err = err
@@ -120,65 +122,56 @@
 // bodyEnd maps the state of reading a part of known length to the state after it.
 var bodyEnd = map[state]state{inBody: beforeHead, inChunk: afterChunk}
 
-// readPart reads a part that is checked into r.pending.
-func (r *Reader) readPart() error {
+// readPart reads a part that is checked into r.pending. All further reads fail with its error.
+func (r *reader) readPart() error {
+	err := r.readPartBlock()
+	if malformed, ok := err.(*MalformedError); ok {
+		malformed.Kind = r.head.kind()
+	}
+	if r.err = err; err == nil {
+		r.pending = r.block
+	}
+	return err
+}
+
+func (r *reader) readPartBlock() error {
 	if cap(r.block) > maxKeptBytes {
 		r.block = nil
 	}
 	r.block = r.block[:0]
-	var err error
 	switch r.state {
-	case beforeHead:
-		err = r.readHead()
 	case beforeChunk:
-		err = r.readChunkSize()
+		return r.readChunkSize()
 	case afterChunk:
-		err = r.readChunkEnd()
+		return r.readChunkEnd()
 	case beforeTrailer:
-		err = r.readTrailer()
-	}
-	if err != nil {
-		return err
+		return r.readTrailer()
 	}
-	r.pending = r.block
-	return nil
+	return r.readHead()
 }
 
-func (r *Reader) readHead() error {
-	if err := r.expectProtocol(); err != nil {
+func (r *reader) readHead() error {
+	if err := r.head.expectStart(r.in); err != nil {
 		return err
 	}
-	line, err := r.readLine(statusLinePart, r.opts.MaxHeadBytes)
+	line, err := r.readLine(r.head.firstLinePart(), r.maxHeadBytes)
 	if err != nil {
 		return err
 	}
-	f, err := parseStatusLine(line)
-	if err != nil {
+	if err := r.head.addFirstLine(line); err != nil {
 		return err
 	}
-	if err := r.readFields(headPart, f.add); err != nil {
+	if err := r.readFields(headPart, r.head.addField); err != nil {
 		return err
 	}
-	r.state, r.left, err = f.next(r.toHead, r.opts.AllowUpgrade)
-	return err
-}
-
-// expectProtocol fails as soon as the first bytes show that no response follows.
-func (r *Reader) expectProtocol() error {
-	start, err := r.in.Peek(len(protocolPrefix))
-	if !bytes.HasPrefix(protocolPrefix, start) {
-		return malformed(statusLinePart, "does not start with HTTP/1.", start)
-	}
-	if len(start) > 0 {
-		return unexpectedEnd(err)
-	}
+	r.state, r.left, err = r.head.next()
 	return err
 }
 
 // readFields reads field lines up to the empty one, and passes the fields to add.
-func (r *Reader) readFields(part string, add func(name, value []byte) error) error {
+func (r *reader) readFields(part string, add func(name, value []byte) error) error {
 	for {
-		line, err := r.readLine(part, r.opts.MaxHeadBytes)
+		line, err := r.readLine(part, r.maxHeadBytes)
 		if err != nil || len(line) == 0 {
 			return err
 		}
@@ -192,12 +185,16 @@
 	}
 }
 
-func (r *Reader) readTrailer() error {
+func (r *reader) readTrailer() error {
 	r.state = beforeHead
-	return r.readFields(trailerPart, func(_, _ []byte) error { return nil })
+	err := r.readFields(trailerPart, func(_, _ []byte) error { return nil })
+	if !r.head.passesTrailers() {
+		r.block = append(r.block[:0], lineEnd...)
+	}
+	return err
 }
 
-func (r *Reader) readChunkSize() error {
+func (r *reader) readChunkSize() error {
 	line, err := r.readLine(chunkSizePart, maxChunkLineBytes)
 	if err != nil {
 		return err
@@ -209,7 +206,7 @@
 	return err
 }
 
-func (r *Reader) readChunkEnd() error {
+func (r *reader) readChunkEnd() error {
 	end, err := r.in.Peek(len(lineEnd))
 	if !bytes.HasPrefix(lineEnd, end) {
 		return malformed(chunkEndPart, "is not CRLF", end)
@@ -225,12 +222,12 @@
 
 // readLine reads a line of part, appends it to r.block, which may grow to limit, and returns it
 // without its end.
-func (r *Reader) readLine(part string, limit int) ([]byte, error) {
+func (r *reader) readLine(part string, limit int) ([]byte, error) {
 	start := len(r.block)
 	for {
 		piece, err := r.in.ReadSlice('\n')
 		if len(r.block)+len(piece) > limit {
-			return nil, malformed(part, "is too long", nil)
+			return nil, &MalformedError{Part: part, Detail: "is too long", TooLong: true}
 		}
 		r.block = append(r.block, piece...)
 		if err == bufio.ErrBufferFull {
--- a/core/response/reader_test.go
+++ b/core/http1/response_test.go
@@ -1,4 +1,4 @@
-package response_test
+package http1_test
 
 import (
 	"bufio"
@@ -11,16 +11,16 @@
 	"testing"
 	"testing/iotest"
 
-	"github.com/shallotspool/shallotspool/core/response"
+	"github.com/shallotspool/shallotspool/core/http1"
 )
 
 // maxHeadBytes is the limit of heads in tests.
 const maxHeadBytes = 1 << 10
 
 // readAll reads all responses in text and returns what was passed on.
-func readAll(text string, opts response.Options) (string, error) {
+func readAll(text string, opts http1.ResponseOptions) (string, error) {
 	opts.MaxHeadBytes = maxHeadBytes
-	passed, err := io.ReadAll(response.NewReader(strings.NewReader(text), opts))
+	passed, err := io.ReadAll(http1.NewResponseReader(strings.NewReader(text), opts))
 	return string(passed), err
 }
 
@@ -28,8 +28,8 @@
 // and that the error says what is wrong in a few words.
 func expectMalformed(t *testing.T, text, passed, detail string) {
 	t.Helper()
-	got, err := readAll(text, response.Options{})
-	var malformed *response.MalformedError
+	got, err := readAll(text, http1.ResponseOptions{})
+	var malformed *http1.MalformedError
 	if !errors.As(err, &malformed) || !strings.Contains(err.Error(), detail) || got != passed {
 		t.Errorf("%q: got %q and error %v, want %q and %q", text, got, err, passed, detail)
 	}
@@ -122,11 +122,11 @@
 // TestSoundResponsesPassUnchanged guards against a check that rejects or changes what an upstream may send.
 func TestSoundResponsesPassUnchanged(t *testing.T) {
 	all := strings.Join(sound, "")
-	if got, err := readAll(all, response.Options{}); err != nil || got != all {
+	if got, err := readAll(all, http1.ResponseOptions{}); err != nil || got != all {
 		t.Errorf("got %q and error %v, want %q", got, err, all)
 	}
 	upgraded := "HTTP/1.1 101 Switching Protocols\r\n\r\n\x00any bytes"
-	if got, err := readAll(upgraded, response.Options{AllowUpgrade: true}); err != nil || got != upgraded {
+	if got, err := readAll(upgraded, http1.ResponseOptions{AllowUpgrade: true}); err != nil || got != upgraded {
 		t.Errorf("got %q and error %v, want %q", got, err, upgraded)
 	}
 }
@@ -136,7 +136,7 @@
 func TestIdleBetweenResponsesOnly(t *testing.T) {
 	text := sound[7]
 	for n := range len(text) + 1 {
-		r := response.NewReader(strings.NewReader(text), response.Options{MaxHeadBytes: maxHeadBytes})
+		r := http1.NewResponseReader(strings.NewReader(text), http1.ResponseOptions{MaxHeadBytes: maxHeadBytes})
 		if _, err := io.ReadFull(r, make([]byte, n)); err != nil {
 			t.Fatal(err)
 		}
@@ -146,7 +146,7 @@
 		}
 	}
 	head := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
-	r := response.NewReader(strings.NewReader(head+sound[3]), response.Options{MaxHeadBytes: maxHeadBytes})
+	r := http1.NewResponseReader(strings.NewReader(head+sound[3]), http1.ResponseOptions{MaxHeadBytes: maxHeadBytes})
 	r.ExpectResponse(true)
 	if _, err := io.ReadFull(r, make([]byte, len(head))); err != nil || r.Idle() {
 		t.Errorf("error %v, or idle, after a response to HEAD that another one follows", err)
@@ -161,7 +161,7 @@
 func TestCutResponseEndsUnexpectedly(t *testing.T) {
 	for _, text := range sound[:8] {
 		for cut := 1; cut < len(text); cut++ {
-			if got, err := readAll(text[:cut], response.Options{}); err != io.ErrUnexpectedEOF {
+			if got, err := readAll(text[:cut], http1.ResponseOptions{}); err != io.ErrUnexpectedEOF {
 				t.Errorf("%q: got %q and error %v, want %v", text[:cut], got, err, io.ErrUnexpectedEOF)
 			}
 		}
@@ -196,9 +196,9 @@
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: x\r\n"},
 	} {
 		more := &endless{text: c[1]}
-		r := response.NewReader(io.MultiReader(strings.NewReader(c[0]), more), response.Options{MaxHeadBytes: maxHeadBytes})
+		r := http1.NewResponseReader(io.MultiReader(strings.NewReader(c[0]), more), http1.ResponseOptions{MaxHeadBytes: maxHeadBytes})
 		_, err := io.Copy(io.Discard, r)
-		var malformed *response.MalformedError
+		var malformed *http1.MalformedError
 		if !errors.As(err, &malformed) || more.total > 16<<10 {
 			t.Errorf("%q and %q without end: error %v after %d bytes", c[0], c[1], err, more.total)
 		}
@@ -215,11 +215,11 @@
 	f.Add([]byte("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nX A: b\r\nContent Length: 2\r\n\r\nok"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		passed, err := readAll(string(data), response.Options{})
+		passed, err := readAll(string(data), http1.ResponseOptions{})
 		if !bytes.HasPrefix(data, []byte(passed)) {
 			t.Fatalf("passed %q of %q", passed, data)
 		}
-		slow := response.NewReader(iotest.OneByteReader(bytes.NewReader(data)), response.Options{MaxHeadBytes: maxHeadBytes})
+		slow := http1.NewResponseReader(iotest.OneByteReader(bytes.NewReader(data)), http1.ResponseOptions{MaxHeadBytes: maxHeadBytes})
 		if again, slowErr := io.ReadAll(slow); string(again) != passed || fmt.Sprint(slowErr) != fmt.Sprint(err) {
 			t.Fatalf("passed %q with error %v, byte by byte %q with error %v", passed, err, again, slowErr)
 		}
--- a/ctl/internal/client/client.go
+++ b/ctl/internal/client/client.go
@@ -13,7 +13,7 @@
 	"github.com/sourcegraph/conc/iter"
 	"github.com/valyala/fasthttp"
 
-	"github.com/shallotspool/shallotspool/core/response"
+	"github.com/shallotspool/shallotspool/core/http1"
 	"github.com/shallotspool/shallotspool/core/status"
 )
 
@@ -90,7 +90,7 @@
 	if _, err := req.WriteTo(conn); err != nil {
 		return err
 	}
-	checked := response.NewReader(conn, response.Options{MaxHeadBytes: maxHeadBytes})
+	checked := http1.NewResponseReader(conn, http1.ResponseOptions{MaxHeadBytes: maxHeadBytes})
 	if err := resp.ReadLimitBody(bufio.NewReaderSize(checked, maxHeadBytes), maxStatusBytes); err != nil {
 		// fasthttp replaces all errors at the first byte.
 		if checkErr := checked.Err(); checkErr != nil {
--- a/ctl/internal/client/client_test.go
+++ b/ctl/internal/client/client_test.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/shallotspool/shallotspool/core/response"
+	"github.com/shallotspool/shallotspool/core/http1"
 	"github.com/shallotspool/shallotspool/ctl/internal/client"
 )
 
@@ -56,7 +56,7 @@
 		"no response\r\n\r\n": "does not start with HTTP/1.",
 	} {
 		got := c.FetchStatuses(context.Background(), []string{serve(t, text)})[0]
-		var malformed *response.MalformedError
+		var malformed *http1.MalformedError
 		if got.Status != nil || !errors.Is(got.Err, client.ErrUnreachable) || !errors.As(got.Err, &malformed) || !strings.Contains(got.Err.Error(), detail) {
 			t.Errorf("%q: got %+v, want ErrUnreachable with %q", text, got, detail)
 		}
--- a/node/internal/link/dial.go
+++ b/node/internal/link/dial.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/websocket"
 
-	"github.com/shallotspool/shallotspool/core/response"
+	"github.com/shallotspool/shallotspool/core/http1"
 )
 
 // The bounds of the delay between attempts to open a link.
@@ -74,7 +74,7 @@
 // checkedConn is a connection on which the response that opens a link must be well-formed.
 type checkedConn struct {
 	net.Conn
-	responses *response.Reader
+	responses *http1.ResponseReader
 }
 
 // Read implements net.Conn.
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &checkedConn{raw, response.NewReader(raw, response.Options{MaxHeadBytes: maxHeadBytes, AllowUpgrade: true})}, nil
+	return &checkedConn{raw, http1.NewResponseReader(raw, http1.ResponseOptions{MaxHeadBytes: maxHeadBytes, AllowUpgrade: true})}, nil
 }
 
 // newNetDialer returns a dialer that connects from the configured source address.
--- a/node/internal/link/dial_test.go
+++ b/node/internal/link/dial_test.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/shallotspool/shallotspool/core/http1"
 	"github.com/shallotspool/shallotspool/core/membership"
-	"github.com/shallotspool/shallotspool/core/response"
 	"github.com/shallotspool/shallotspool/core/wire"
 	"github.com/shallotspool/shallotspool/node/internal/directory"
 	"github.com/shallotspool/shallotspool/node/internal/link"
@@ -46,7 +46,7 @@
 		h.Connect("a-2")
 		select {
 		case err := <-failures:
-			if got := new(*response.MalformedError); errors.As(err, got) != malformed {
+			if got := new(*http1.MalformedError); errors.As(err, got) != malformed {
 				t.Errorf("%q: error %v, malformed wanted: %v", field, err, malformed)
 			}
 		case <-time.After(20 * time.Second):
--- a/node/internal/pool/conn.go
+++ b/node/internal/pool/conn.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/shallotspool/shallotspool/core/response"
+	"github.com/shallotspool/shallotspool/core/http1"
 )
 
 // MaxHeaderBytes is the size of the read buffer of a connection, into which a response header must
@@ -33,7 +33,7 @@
 	answered bool
 
 	// responses checks what Reader gets.
-	responses    *response.Reader
+	responses    *http1.ResponseReader
 	bytesWritten atomic.Int64
 	openedAt     time.Time
 	idleSince    time.Time
@@ -42,13 +42,13 @@
 func newConn(raw net.Conn, extraHeaderBytes int) *Conn {
 	c := &Conn{Conn: raw, openedAt: time.Now(), idleSince: time.Now()}
 	maxHeaderBytes := MaxHeaderBytes + extraHeaderBytes
-	c.responses = response.NewReader(raw, response.Options{MaxHeadBytes: maxHeaderBytes})
+	c.responses = http1.NewResponseReader(raw, http1.ResponseOptions{MaxHeadBytes: maxHeaderBytes})
 	c.Reader = bufio.NewReaderSize(c, maxHeaderBytes)
 	c.Writer = bufio.NewWriterSize(c, writeBufferBytes)
 	return c
 }
 
-// Read reads well-formed responses from the socket; see response.Reader.
+// Read reads well-formed responses from the socket; see http1.ResponseReader.
 func (c *Conn) Read(b []byte) (int, error) { return c.responses.Read(b) }
 
 // socketError returns the error of Read if that is why reading a response failed with err.
--- a/node/internal/pool/malformed_test.go
+++ b/node/internal/pool/malformed_test.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/shallotspool/shallotspool/core/response"
+	"github.com/shallotspool/shallotspool/core/http1"
 )
 
 // TestMalformedBytesAfterResponseCloseConnection guards against a connection that is used again although bytes that
@@ -46,7 +46,7 @@
 		req.Header.SetHost("h")
 		_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 		err = conn.ExchangeWithOptions(&req, &resp, options)
-		if got := new(*response.MalformedError); errors.As(err, got) != rejected || (err == nil) == rejected {
+		if got := new(*http1.MalformedError); errors.As(err, got) != rejected || (err == nil) == rejected {
 			t.Errorf("%q: error %v, want one: %v", text, err, rejected)
 		}
 	}
