Read requests strictly where they enter and between nodes

What callers saw: a request in place of the body of another one ran, if that had "Content Length", "Transfer-Encoding: identity", a bare LF in a head or after a chunk size, or a continuation line. Malformed names ("X A: b", "X Caller: forged") were sent to upstreams, and fields of trailers became fields of the head. A target that is an address got 404, HTTP/9.9 and another Expect were sent on, and HTTP/1.0 was passed on as such.

Cause: requests were trusted as the library reads them, and our reader of chunks accepted a bare LF.

Of 27 odd requests 14 were not refused: the upstream got 13 of them, and 11 requests that stood within one.

Change: http1.RequestReader stands between the connection and the library in all listeners of the sidecar. What breaks a rule gets 400, 431, 505 or 417, is sent nowhere and closes the connection behind the responses that are due. Lengths come from that reader. Fields of trailers are dropped; the host of an address counts; a request is passed on as HTTP/1.1.

--- a/node/internal/listener/body.go
+++ b/node/internal/listener/body.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/shallotspool/shallotspool/core/http1"
 	"github.com/shallotspool/shallotspool/node/internal/body"
 	"github.com/shallotspool/shallotspool/node/internal/memory"
 )
@@ -19,21 +20,13 @@
 	lingerBytes = 64 << 20
 )
 
-// The values of the length of a request body that is chunked, or that the request does not have.
-const (
-	chunkedBody = -1
-	noBody      = -2
-)
-
-// readBody reads the body of a request whose header was read. Its errors are those of
+// readBody reads the body of a request whose head was read. Its errors are those of
 // readRequest.
-func (c *conn) readBody(x *Exchange, limits Limits) error {
-	maxBytes := limits.MaxBodyBytes
-	length := x.Request.Header.ContentLength()
-	if length == noBody || length == 0 {
+func (c *conn) readBody(x *Exchange, head *http1.RequestHead, limits Limits) error {
+	if !head.Chunked && head.Length == 0 {
 		return nil
 	}
-	if length > maxBytes {
+	if !head.Chunked && head.Length > uint64(limits.MaxBodyBytes) {
 		return &requestError{status: fasthttp.StatusRequestEntityTooLarge, bodyUnread: true}
 	}
 	var terms BodyTerms
@@ -41,21 +34,19 @@
 		terms = c.l.cfg.BodyTerms(x)
 	}
 	x.bodyLease = terms.Lease
-	reader := &body.Reader{In: c.in.Reader, Max: maxBytes, Lease: terms.Lease, WaitUntil: terms.WaitUntil}
-	err := c.readBodyInto(x, reader, length, terms.ReadUntil)
-	if err == nil && length == chunkedBody {
-		err = c.in.readFields(limits.MaxHeaderBytes, x.Request.Header.ReadTrailer)
-	}
+	reader := &body.Reader{In: c.in, Max: limits.MaxBodyBytes, Lease: terms.Lease, WaitUntil: terms.WaitUntil}
+	err := c.readBodyInto(x, reader, head, terms.ReadUntil)
 	if err != nil {
 		x.bodyLease.Release()
 	}
-	return classifyBodyError(err)
+	return c.classifyBodyError(err)
 }
 
-// readBodyInto reads a body of a length, or a chunked one up to its trailer, until a time or for
+// readBodyInto reads a body of a length, or a chunked one with its trailer, until a time or for
 // bodyTimeout.
-func (c *conn) readBodyInto(x *Exchange, reader *body.Reader, length int, until time.Time) error {
-	if length > 0 {
+func (c *conn) readBodyInto(x *Exchange, reader *body.Reader, head *http1.RequestHead, until time.Time) error {
+	length := int(head.Length)
+	if !head.Chunked {
 		if err := reader.Reserve(length); err != nil {
 			return err
 		}
@@ -66,7 +57,7 @@
 	}
 	c.setReadDeadline(latest)
 	c.allowBody(x)
-	if length > 0 {
+	if !head.Chunked {
 		read, err := reader.ReadSized(length)
 		x.Request.SetBodyRaw(read)
 		return err
@@ -77,20 +68,22 @@
 	}
 	x.Request.SetBodyRaw(read)
 	x.Request.Header.SetContentLength(len(read))
-	return nil
+	// What is passed on of a trailer is the empty line.
+	_, err = c.in.Discard(len("\r\n"))
+	return err
 }
 
 // allowBody tells a caller that waits for it to send the body, once the responses to its earlier requests
 // are written.
 func (c *conn) allowBody(x *Exchange) {
-	if x.Request.MayContinue() {
+	if x.expectsContinue {
 		c.pipeline <- output{}
 	}
 }
 
 // classifyBodyError returns a *requestError if a body is invalid, too large, too slow or finds no
 // memory, and err itself if the connection ended.
-func classifyBodyError(err error) error {
+func (c *conn) classifyBodyError(err error) error {
 	var netErr net.Error
 	switch {
 	case err == nil:
@@ -99,14 +92,12 @@
 		return &requestError{status: fasthttp.StatusServiceUnavailable, bodyUnread: true}
 	case errors.Is(err, body.ErrTooLarge):
 		return &requestError{status: fasthttp.StatusRequestEntityTooLarge, bodyUnread: true}
-	case errors.Is(err, errFieldsTooLarge):
-		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge, bodyUnread: true}
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return &requestError{status: fasthttp.StatusRequestTimeout}
 	case isConnectionError(err):
 		return err
 	}
-	return &requestError{status: fasthttp.StatusBadRequest, bodyUnread: true}
+	return c.classifyMalformed(err)
 }
 
 // linger passes over the rest of a body, or requests that are not read. A connection that is closed with unread bytes is reset,
--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/shallotspool/shallotspool/core/http1"
 )
 
 // conn is one connection. One goroutine reads requests and starts a handler for
@@ -17,8 +19,10 @@
 type conn struct {
 	l      *Listener
 	raw    net.Conn
-	in     received
 	remote netip.Addr
+	// requests checks what arrives, and in buffers what it passes on.
+	requests *http1.RequestReader
+	in       *bufio.Reader
 	// ctx is the context of all handlers; cancel is called when the caller
 	// disconnects or the connection ends.
 	ctx    context.Context
@@ -62,7 +66,8 @@
 // serve reads and handles requests until readRequests returns, then closes the
 // connection once the remaining responses are written or discarded.
 func (c *conn) serve() {
-	c.in = newReceived(c.raw)
+	c.requests = http1.NewRequestReader(c.raw, http1.RequestOptions{})
+	c.in = bufio.NewReaderSize(c.requests, bufferBytes)
 	written := make(chan struct{})
 	c.l.cfg.Go(func() {
 		defer close(written)
@@ -150,7 +155,7 @@
 func (c *conn) watchDisconnect() {
 	c.setReadDeadline(time.Time{})
 	c.l.cfg.Go(func() {
-		if _, err := c.in.Peek(1); err != nil {
+		if err := c.requests.Wait(); err != nil {
 			c.cancel()
 		}
 	})
@@ -176,12 +181,15 @@
 	defer c.endReading()
 	limits := c.l.limits()
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	h := &x.Request.Header
-	if err := c.in.readFields(limits.MaxHeaderBytes, h.Read); err != nil {
-		return classifyHeaderError(err)
+	head, err := c.readHead(x, limits.MaxHeaderBytes)
+	if err != nil {
+		return c.classifyHeaderError(err)
 	}
 	x.HeaderAt = time.Now()
-	err := c.readBody(x, limits)
+	if head.ExpectsOther {
+		return &requestError{status: fasthttp.StatusExpectationFailed, bodyUnread: true}
+	}
+	err = c.readBody(x, head, limits)
 	if err != nil && c.givesUp() {
 		return &requestError{status: fasthttp.StatusServiceUnavailable, bodyUnread: true}
 	}
@@ -194,20 +202,64 @@
 
 var continueResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
+// readHead reads the head of a request into x.
+func (c *conn) readHead(x *Exchange, maxBytes int) (*http1.RequestHead, error) {
+	head, err := c.requests.ReadHead(maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	// fasthttp reads a head only if it fits into the buffer.
+	if head.Bytes > c.in.Size() {
+		c.in = bufio.NewReaderSize(c.requests, head.Bytes)
+	}
+	h := &x.Request.Header
+	if err := h.Read(c.in); err != nil {
+		return nil, err
+	}
+	if head.Closes {
+		h.SetConnectionClose()
+	}
+	x.expectsContinue = head.ExpectsContinue
+	x.keepsHTTP10 = head.HTTP10 && !h.ConnectionClose()
+	// A request is passed on with the version of the node.
+	h.SetProtocol("HTTP/1.1")
+	if len(head.Authority) > 0 {
+		h.SetHostBytes(head.Authority)
+		h.SetRequestURIBytes(head.Path)
+	}
+	return head, nil
+}
+
 // classifyHeaderError returns a *requestError if a header was invalid, too large
 // or too slow, and err itself if the connection ended. Any net.Error, also a
 // reset, counts as too slow; the response to a reset cannot be delivered.
-func classifyHeaderError(err error) error {
+func (c *conn) classifyHeaderError(err error) error {
 	var netErr net.Error
 	switch {
-	case errors.Is(err, errFieldsTooLarge):
-		return &requestError{status: fasthttp.StatusRequestHeaderFieldsTooLarge, bodyUnread: true}
 	case errors.As(err, &netErr):
 		return &requestError{status: fasthttp.StatusRequestTimeout}
 	case isConnectionError(err):
 		return err
 	}
-	return &requestError{status: fasthttp.StatusBadRequest}
+	return c.classifyMalformed(err)
+}
+
+// classifyMalformed returns the *requestError for a request that is malformed, and reports it.
+func (c *conn) classifyMalformed(err error) error {
+	status := fasthttp.StatusBadRequest
+	var malformed *http1.MalformedError
+	if errors.As(err, &malformed) {
+		switch {
+		case malformed.FieldsTooLong():
+			status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		case malformed.OtherVersion:
+			status = fasthttp.StatusHTTPVersionNotSupported
+		}
+	}
+	if c.l.cfg.OnMalformed != nil {
+		c.l.cfg.OnMalformed(c.remote, status, err)
+	}
+	return &requestError{status: status, bodyUnread: true}
 }
 
 // waitForRequest waits for the first byte of a request, for up to the idle timeout or, while a
@@ -226,7 +278,7 @@
 		c.setReadDeadlineLocked(time.Now().Add(idleTimeout))
 	}
 	c.mu.Unlock()
-	_, err := c.in.Peek(1)
+	err := c.requests.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.reading = false, err == nil
@@ -385,6 +437,9 @@
 	if x.callerCloses || c.closesDrained {
 		x.Response.SetConnectionClose()
 	}
+	if x.keepsHTTP10 && !x.Response.ConnectionClose() {
+		x.Response.Header.Set(fasthttp.HeaderConnection, "keep-alive")
+	}
 	x.Response.SkipBody = x.isHead
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err := x.Response.Write(out)
--- a/node/internal/listener/listener.go
+++ b/node/internal/listener/listener.go
@@ -46,7 +46,11 @@
 	// response, and isHead if the response must not have a body. Both are stored
 	// as the handler may change the request.
 	callerCloses, isHead bool
-	done                 chan struct{}
+	// keepsHTTP10 is true if the request has version 1.0 and its connection is to be kept.
+	keepsHTTP10 bool
+	// expectsContinue is true if the caller waits for an interim response before it sends the body.
+	expectsContinue bool
+	done            chan struct{}
 	// bodyLease is charged with the memory of the request's body.
 	bodyLease *memory.Lease
 	// release is called once the response has been written or discarded; see OnRelease.
@@ -107,6 +111,8 @@
 	// Refuse fills in the response to a request whose body finds no memory, or that is not read
 	// because of RefuseUnread. It must be set if BodyTerms is.
 	Refuse func(x *Exchange)
+	// OnMalformed is called with each request that gets a status because it is malformed. It may be nil.
+	OnMalformed func(remote netip.Addr, status int, err error)
 	// Go runs a function in a new goroutine.
 	Go func(func())
 }
--- a/node/sidecar/logs.go
+++ b/node/sidecar/logs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -103,6 +104,12 @@
 		field("left_ms", formatMilliseconds(req.deadline-s.now())))
 }
 
+// logMalformed logs and counts a request that gets a status because it is malformed.
+func (s *Sidecar) logMalformed(remote netip.Addr, status int, err error) {
+	s.metrics.AddToCounter("shallot_malformed_requests_total", 1)
+	s.log.Info("request malformed", field("address", remote), field("status", status), field("error", err))
+}
+
 // logCrash logs that the local upstream crashed while it ran w. running is the number of
 // requests that ran at that time.
 func (s *Sidecar) logCrash(w mesh.Work, running int) {
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -168,7 +168,9 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		cfg := listener.Config{Handler: l.handler, Limits: s.callerLimits, MaxConnections: maxConnections, Go: s.tasks.Go}
+		cfg := listener.Config{
+			Handler: l.handler, Limits: s.callerLimits, MaxConnections: maxConnections, OnMalformed: s.logMalformed, Go: s.tasks.Go,
+		}
 		switch l.destination {
 		case &s.callerListener:
 			cfg.BodyTerms, cfg.Refuse = s.callerBodyTerms, s.refuseCallerBody
