Read requests strictly at all addresses of shallotd

What callers saw: at the addresses for callers, the upstream, other nodes and the status, a request in place of the body of another one was answered after "Transfer-Encoding: identity", "Content Length" and others, malformed names were accepted, and a request behind an upgrade that was refused was answered.

Cause: the servers of the library read their connections themselves, by looser rules than those of the sidecar's listeners.

Change: strictconn puts http1.RequestReader between a connection and such a server. A malformed head is replaced by one that the library refuses, as it closes a connection without a response if a read fails. What follows an upgrade cannot be checked, so that the connection is closed if there is none. The log and a counter say which rule was broken. 431 and 505 as in the sidecar.

--- a/core/http1/head.go
+++ b/core/http1/head.go
@@ -49,6 +49,11 @@
 // FieldsTooLong reports whether a head or a trailer exceeds its limit.
 func (e *MalformedError) FieldsTooLong() bool { return e.TooLong && e.Part != chunkSizePart }
 
+// InHead reports whether the message is malformed before its body.
+func (e *MalformedError) InHead() bool {
+	return e.Part == statusLinePart || e.Part == requestLinePart || e.Part == headPart
+}
+
 func malformed(part, detail string, text []byte) error {
 	return &MalformedError{Part: part, Detail: detail, Text: bytes.Clone(text[:min(len(text), maxTextBytes)])}
 }
--- a/core/http1/http1test/reference.go
+++ b/core/http1/http1test/reference.go
@@ -139,3 +139,15 @@
 	_, err := strconv.ParseInt(text, 10, 64)
 	return decimal.MatchString(text) && err == nil
 }
+
+// Path returns the target without scheme and host.
+func (r Request) Path() string {
+	parts := address.FindStringSubmatch(r.Target)
+	switch {
+	case parts == nil:
+		return r.Target
+	case strings.HasPrefix(parts[1], "/"):
+		return parts[1]
+	}
+	return "/" + parts[1]
+}
--- a/core/http1/request.go
+++ b/core/http1/request.go
@@ -88,6 +88,9 @@
 	return &h.RequestHead, nil
 }
 
+// Unchecked reports whether what follows the last head is passed on unchecked; see RequestOptions.AllowUpgrade.
+func (r *RequestReader) Unchecked() bool { return r.state == toEnd }
+
 // requestHead is the head of a request.
 type requestHead struct {
 	RequestHead
--- a/node/daemon/actions.go
+++ b/node/daemon/actions.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"net/netip"
 
 	"github.com/shallotspool/shallotspool/core/document"
 	"github.com/shallotspool/shallotspool/core/engine"
@@ -67,6 +68,12 @@
 	d.log.Info("exchange failed", logField("address", address), logField("error", err.Error()))
 }
 
+// recordMalformedRequest counts and logs a request that is refused because it is malformed.
+func (d *Daemon) recordMalformedRequest(remote netip.Addr, err error) {
+	d.metrics.AddToCounter("shallot_malformed_requests_total", 1)
+	d.log.Info("request malformed", logField("address", remote.String()), logField("error", err.Error()))
+}
+
 // recordLinkFailure counts and logs a link that was refused or broke, except
 // while the daemon is closing.
 func (d *Daemon) recordLinkFailure(target string, err error) {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -168,6 +168,7 @@
 	cfg := server.Config{
 		Origin: origin, Loop: d.loop, Incarnation: self.Incarnation,
 		MaxConnections: maxConnections, MaxBodyBytes: d.settings.MaxBodyBytes, BodyLimiter: d.bodyLimiter,
+		OnMalformed: d.recordMalformedRequest,
 	}
 	if instances != nil {
 		cfg.AcceptSender = func(target string, ip netip.Addr) bool { return instances.MatchesAddress(target, ip) }
--- a/node/internal/admin/admin.go
+++ b/node/internal/admin/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/shallotspool/shallotspool/core/status"
 	"github.com/shallotspool/shallotspool/node/internal/metrics"
+	"github.com/shallotspool/shallotspool/node/internal/strictconn"
 )
 
 // Limits of the listener.
@@ -42,7 +43,9 @@
 
 // Serve handles requests from ln until Shutdown is called.
 func (s *Server) Serve(ln net.Listener) error {
-	err := s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+	// The library itself refuses a head that is too large.
+	checked := strictconn.Wrap(ln, strictconn.Config{MaxHeadBytes: 2 * maxRequestBytes})
+	err := s.app.Listener(checked, fiber.ListenConfig{DisableStartupMessage: true})
 	return errors.Wrap(err, "serve admin listener")
 }
 
--- a/node/internal/server/reply.go
+++ b/node/internal/server/reply.go
@@ -10,6 +10,7 @@
 
 	"github.com/shallotspool/shallotspool/core/engine"
 	"github.com/shallotspool/shallotspool/node/internal/header"
+	"github.com/shallotspool/shallotspool/node/internal/strictconn"
 )
 
 // errorBody is the JSON body of each error response that the node itself generates,
@@ -113,11 +114,26 @@
 		status, reason = fasthttp.StatusRequestEntityTooLarge, reasonBodyTooLarge
 	case errors.As(err, &bufferErr):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	default:
+		status = malformedStatus(ctx)
 	}
 	ctx.Response.Header.Set(header.Outcome, engine.OutcomeBadRequest.String())
 	writeError(ctx, status, errorBody{Outcome: engine.OutcomeBadRequest.String(), Reason: reason, Detail: s.readErrorDetail(status)})
 }
 
+// malformedStatus returns the status for a request that is not valid HTTP.
+func malformedStatus(ctx *fasthttp.RequestCtx) int {
+	conn, ok := ctx.Conn().(*strictconn.Conn)
+	switch {
+	case !ok || conn.Malformed() == nil:
+	case conn.Malformed().FieldsTooLong():
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case conn.Malformed().OtherVersion:
+		return fasthttp.StatusHTTPVersionNotSupported
+	}
+	return fasthttp.StatusBadRequest
+}
+
 // readErrorDetail describes a read error by its status. fasthttp's own error
 // text is not used, as it quotes the bytes that the client sent.
 func (s *Server) readErrorDetail(status int) string {
--- a/node/internal/server/server.go
+++ b/node/internal/server/server.go
@@ -17,6 +17,7 @@
 	"github.com/shallotspool/shallotspool/core/engine"
 	"github.com/shallotspool/shallotspool/node/internal/header"
 	"github.com/shallotspool/shallotspool/node/internal/loop"
+	"github.com/shallotspool/shallotspool/node/internal/strictconn"
 )
 
 // Limits of every listener. maxHeaderBytes is that of callers; see headerLimit.
@@ -45,6 +46,8 @@
 	// AcceptSender reports whether a sender with this target name and IP
 	// address may send calls; nil accepts every sender.
 	AcceptSender func(target string, ip netip.Addr) bool
+	// OnMalformed is called with each malformed request. It may be nil.
+	OnMalformed func(remote netip.Addr, err error)
 	// UpgradeHandler handles requests with "Connection: Upgrade", which open
 	// WebSocket links. If it is nil, they are handled as calls.
 	UpgradeHandler fasthttp.RequestHandler
@@ -84,7 +87,10 @@
 
 // Serve accepts calls from ln until Shutdown is called.
 func (s *Server) Serve(ln net.Listener) error {
-	return errors.Wrap(s.http.Serve(ln), "serve")
+	checked := strictconn.Wrap(ln, strictconn.Config{
+		MaxHeadBytes: headerLimit(s.cfg.Origin), AllowUpgrade: s.cfg.UpgradeHandler != nil, OnMalformed: s.cfg.OnMalformed,
+	})
+	return errors.Wrap(s.http.Serve(checked), "serve")
 }
 
 // Shutdown stops accepting calls and returns once all open calls have been
@@ -98,8 +104,10 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if s.cfg.UpgradeHandler != nil && ctx.Request.Header.ConnectionUpgrade() {
 		s.cfg.UpgradeHandler(ctx)
+		closeIfUnchecked(ctx)
 		return
 	}
+	closeIfUnchecked(ctx)
 	if s.cfg.Origin == engine.OriginCaller && string(ctx.Request.Header.RequestURI()) == KeyPath {
 		s.issueKey(ctx)
 		return
@@ -127,6 +135,13 @@
 	writeReply(ctx, s.cfg.Origin, pending.Reply())
 }
 
+// closeIfUnchecked ends a connection behind the response if the next request could not be checked.
+func closeIfUnchecked(ctx *fasthttp.RequestCtx) {
+	if conn, ok := ctx.Conn().(*strictconn.Conn); ok && conn.Unchecked() && !ctx.Hijacked() {
+		ctx.SetConnectionClose()
+	}
+}
+
 // checkRequest returns why a request must be rejected; detail is empty if it is
 // acceptable.
 func (s *Server) checkRequest(ctx *fasthttp.RequestCtx, call *header.Call) (reason, detail string) {
