Compare the requests of whole nodes with those that a strict reader sees

Nothing that callers see. Fault soak: the scenario framing sends connections with well-formed and malformed requests, each with another one in place of its body, at random splits, to all nodes. Upstreams must get no other requests than the reference reader of http1test sees, none with a malformed field or one of a trailer, and the answers of a connection must keep their order.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	@go run ./harness/cmd/harness soak -seeds $(SEEDS) -from $(FROM)
 
 # Runs nodes as processes, harms them from outside and checks what callers see.
-# SCENARIO selects a fixed combination of faults: retries, crasher, listener, endless, uploads, silence, stops or reads.
+# SCENARIO selects a fixed combination of faults: retries, crasher, listener, endless, uploads, silence, stops, reads or framing.
 faults:
 	go build -o target/ ./node/cmd/shallotd
 	@go run ./harness/cmd/harness faults -binary target/shallotd -seeds $(SEEDS) -from $(FROM) $(if $(NODES),-nodes $(NODES)) $(if $(SCENARIO),-scenario $(SCENARIO)) -regressions harness/faults/regressions.txt
--- a/harness/faults/checks.go
+++ b/harness/faults/checks.go
@@ -49,7 +49,7 @@
 	{"config_back", findTableRollbacks}, {"config_late", findLateTables}, {"budget", findExcessRetries},
 	{"deadline", findWrongDeadlines}, {"cancel", findMissedCancellations}, {"recovery", findFailedRecovery},
 	{"crasher", findCrashersNotStopped}, {"popular", findPopularNotServed}, {"endless", findEndlessAnswersRead},
-	{"uploads", findUploadsWithoutAnswer},
+	{"uploads", findUploadsWithoutAnswer}, {"framing", findWronglyFramed},
 }
 
 // anyInstance stands for all instances in place of the index of one.
--- a/harness/faults/checks_test.go
+++ b/harness/faults/checks_test.go
@@ -48,6 +48,10 @@
 		"popular": func(h *history) {
 			h.requests[popularID] = &request{id: popularID, node: 1, fromUpstream: true, status: 502}
 		},
+		"framing": func(h *history) {
+			h.framings = append(h.framings, &framingConn{})
+			h.arrivals = append(h.arrivals, arrival{arrivedAt: 20 * time.Second, id: framingID + "-hidden", service: leafService, upstream: "u1"})
+		},
 		"uploads": func(h *history) { h.uploads = append(h.uploads, upload{id: "u", status: 503}) },
 		"endless": func(h *history) { h.endless = append(h.endless, endlessAnswer{duration: maxEndlessTime + time.Second}) },
 		"drain":   func(h *history) { h.drains = []drainPeriod{{upstream: "u0", from: 10 * time.Second}} },
--- a/harness/faults/history.go
+++ b/harness/faults/history.go
@@ -17,6 +17,8 @@
 	endless   []endlessAnswer
 	// uploads are the requests with large bodies.
 	uploads []upload
+	// framings are the connections of FramingScenario.
+	framings []*framingConn
 	// publishedAt is when each version of the routing table was published.
 	publishedAt map[int]time.Duration
 }
--- a/harness/faults/scenario.go
+++ b/harness/faults/scenario.go
@@ -35,11 +35,13 @@
 	// ReadScenario disturbs two nodes or their reads of the store, or slows all reads, and in some
 	// rounds cuts reads in series. A table and an upstream that leaves follow.
 	ReadScenario Scenario = "reads"
+	// FramingScenario sends requests with others in place of their bodies, some of them malformed.
+	FramingScenario Scenario = "framing"
 )
 
 // Scenarios returns all scenarios.
 func Scenarios() []Scenario {
-	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario, SilenceScenario, StopScenario, ReadScenario}
+	return []Scenario{RetryScenario, CrasherScenario, ListenerScenario, EndlessScenario, UploadScenario, SilenceScenario, StopScenario, ReadScenario, FramingScenario}
 }
 
 const (
@@ -70,6 +72,9 @@
 	if o.Scenario == UploadScenario {
 		return []scheduledFault{{startAt: time.Second, kind: faultKind{name: "uploads", global: true, inject: sendUploads}}}
 	}
+	if o.Scenario == FramingScenario {
+		return []scheduledFault{{startAt: time.Second, kind: faultKind{name: "framing", global: true, inject: sendFramings}}}
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 2))
 	if o.Scenario == SilenceScenario {
 		return planSilence(random, o.Nodes)
--- a/harness/faults/upstream.go
+++ b/harness/faults/upstream.go
@@ -156,6 +156,9 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	if strings.HasPrefix(id, framingID) {
+		a.id = markMalformed(&ctx.Request.Header, id)
+	}
 	u.history.recordArrival(a)
 	if strings.HasPrefix(id, uploadsID) {
 		u.receiveUpload(ctx)
