--- a/node/internal/listener/conn.go
+++ b/node/internal/listener/conn.go
@@ -407,8 +407,9 @@
 }
 
 // writeResponses writes the responses in the order of their requests, each once
-// its handler has returned. Nothing else writes to the connection. It discards the remaining ones after a failed write,
-// after a response that closes the connection and once the context is cancelled.
+// its handler has returned, and the interim ones between them. Nothing else writes to the
+// connection. It discards the remaining ones after a failed write, after a response that closes
+// the connection and once the context is cancelled.
 func (c *conn) writeResponses() {
 	out := bufio.NewWriterSize(c.raw, bufferBytes)
 	stopped := false
