--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -1,6 +1,9 @@
 package mesh
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 const (
 	// noTableRetryAfter is the delay after which a caller may retry at a node without
@@ -153,7 +156,7 @@
 // run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
-	case 408, 421, 429, 503:
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
 	}
 	return false
