Accept an address as target at the addresses of shallotd

What callers saw: "GET http://other/read/1" got 400, "the request target is not a path". RFC 9112, 3.2.2, has a server accept that form, and take the host from it.

Change: the target is replaced by its path, and the host by that of the address, before the call is read.

--- a/core/http1/request.go
+++ b/core/http1/request.go
@@ -150,22 +150,33 @@
 	if target[0] == '/' || string(target) == "*" && string(method) == "OPTIONS" {
 		return nil
 	}
+	authority, path, found := SplitAddress(target)
+	switch {
+	case !found:
+		return malformed(requestLinePart, "has a target that is neither a path nor an address", target)
+	case !isHost(authority):
+		return malformed(requestLinePart, "has an address without a valid host", target)
+	}
+	h.Authority, h.Path = authority, path
+	return nil
+}
+
+// SplitAddress returns copies of the host and of the rest of a target that is an address with http or https. It
+// returns false if the target is none.
+func SplitAddress(target []byte) (authority, path []byte, ok bool) {
 	scheme, rest, found := bytes.Cut(target, schemeEnd)
 	if !found || !bytes.EqualFold(scheme, []byte("http")) && !bytes.EqualFold(scheme, []byte("https")) {
-		return malformed(requestLinePart, "has a target that is neither a path nor an address", target)
+		return nil, nil, false
 	}
 	end := bytes.IndexAny(rest, "/?#")
 	if end < 0 {
 		end = len(rest)
 	}
-	if !isHost(rest[:end]) {
-		return malformed(requestLinePart, "has an address without a valid host", target)
+	authority, path = bytes.Clone(rest[:end]), rest[end:]
+	if len(path) == 0 || path[0] != '/' {
+		return authority, append([]byte{'/'}, path...), true
 	}
-	h.Authority, h.Path = bytes.Clone(rest[:end]), bytes.Clone(rest[end:])
-	if len(h.Path) == 0 || h.Path[0] != '/' {
-		h.Path = append([]byte{'/'}, h.Path...)
-	}
-	return nil
+	return authority, bytes.Clone(path), true
 }
 
 // addField implements head.
--- a/node/daemon/strict_request_test.go
+++ b/node/daemon/strict_request_test.go
@@ -43,3 +43,23 @@
 		t.Errorf("got %q behind an upgrade that is refused, want one response with status 404", got)
 	}
 }
+
+// TestAddressAsTargetIsServed guards against a request with an address as target that is refused, or whose host is not that
+// of the address.
+func TestAddressAsTargetIsServed(t *testing.T) {
+	f := newFleet(t, "front-1")
+	upstream := &rawUpstream{}
+	upstream.response.Store("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	f.nodes["front-1"].Kill()
+	f.startNode("front-1", upstream.serve(t))
+	f.waitUntilConnected([]string{"front-1"})
+	address := f.nodes["front-1"].settings.ListenCallers.String()
+	for target, path := range map[string]string{"http://other/read/1?a=b": "/read/1?a=b", "HTTP://other:80/read/2": "/read/2", "/read/3": "/read/3"} {
+		response := sendRaw(t, address, "GET "+target+" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		received, _ := upstream.request.Load().(string)
+		hostOfField := strings.Contains(received, "Host: x\r\n")
+		if !strings.HasPrefix(response, "HTTP/1.1 200") || !strings.HasPrefix(received, "GET "+path+" HTTP/1.1\r\n") || hostOfField && target != path {
+			t.Errorf("%s: the caller got %q, the upstream %q, want path %s", target, response, received, path)
+		}
+	}
+}
--- a/node/internal/server/server.go
+++ b/node/internal/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/shallotspool/shallotspool/core/engine"
+	"github.com/shallotspool/shallotspool/core/http1"
 	"github.com/shallotspool/shallotspool/node/internal/header"
 	"github.com/shallotspool/shallotspool/node/internal/loop"
 	"github.com/shallotspool/shallotspool/node/internal/strictconn"
@@ -108,6 +109,7 @@
 		return
 	}
 	closeIfUnchecked(ctx)
+	takeHostFromTarget(&ctx.Request.Header)
 	if s.cfg.Origin == engine.OriginCaller && string(ctx.Request.Header.RequestURI()) == KeyPath {
 		s.issueKey(ctx)
 		return
@@ -135,6 +137,14 @@
 	writeReply(ctx, s.cfg.Origin, pending.Reply())
 }
 
+// takeHostFromTarget replaces a target that is an address by its path, and the host by that of the address.
+func takeHostFromTarget(h *fasthttp.RequestHeader) {
+	if authority, path, ok := http1.SplitAddress(h.RequestURI()); ok {
+		h.SetHostBytes(authority)
+		h.SetRequestURIBytes(path)
+	}
+}
+
 // closeIfUnchecked ends a connection behind the response if the next request could not be checked.
 func closeIfUnchecked(ctx *fasthttp.RequestCtx) {
 	if conn, ok := ctx.Conn().(*strictconn.Conn); ok && conn.Unchecked() && !ctx.Hijacked() {
