--- a/node/daemon/malformed_test.go
+++ b/node/daemon/malformed_test.go
@@ -75,16 +75,22 @@
 	goldie.New(t).Assert(t, "malformed", got.Bytes())
 }
 
-// TestInternalHeadersFromCallersAreRemoved sends headers that only nodes may send
-// and checks that the upstream does not receive them.
-func TestInternalHeadersFromCallersAreRemoved(t *testing.T) {
+// startWithRawUpstream starts front-1 with an upstream that answers with an empty 200, and returns that and the address
+// for callers.
+func startWithRawUpstream(t *testing.T) (upstream *rawUpstream, address string) {
 	f := newFleet(t, "front-1")
-	upstream := &rawUpstream{}
+	upstream = &rawUpstream{}
 	upstream.response.Store("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	f.nodes["front-1"].Kill()
 	f.startNode("front-1", upstream.serve(t))
 	f.waitUntilConnected([]string{"front-1"})
-	address := f.nodes["front-1"].settings.ListenCallers.String()
+	return upstream, f.nodes["front-1"].settings.ListenCallers.String()
+}
+
+// TestInternalHeadersFromCallersAreRemoved sends headers that only nodes may send
+// and checks that the upstream does not receive them.
+func TestInternalHeadersFromCallersAreRemoved(t *testing.T) {
+	upstream, address := startWithRawUpstream(t)
 	request := "POST /pay HTTP/1.1\r\nHost: x\r\nIdempotency-Key: e\r\nShallot-Budget: 200\r\nShallot-Class: 0\r\n" +
 		"Shallot-Send: a/1/1\r\nShallot-Stage: run\r\nShallot-Depth: 9\r\nShallot-Parent: 1.1\r\nShallot-Made-Up: 1\r\n" +
 		"Connection: X-Hop, close\r\nX-Hop: 1\r\nX-Own: kept\r\nContent-Length: 0\r\n\r\n"
--- a/node/daemon/strict_request_test.go
+++ b/node/daemon/strict_request_test.go
@@ -50,13 +50,7 @@
 // TestAddressAsTargetIsServed guards against a request with an address as target that is refused, or whose host is not that
 // of the address.
 func TestAddressAsTargetIsServed(t *testing.T) {
-	f := newFleet(t, "front-1")
-	upstream := &rawUpstream{}
-	upstream.response.Store("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	f.nodes["front-1"].Kill()
-	f.startNode("front-1", upstream.serve(t))
-	f.waitUntilConnected([]string{"front-1"})
-	address := f.nodes["front-1"].settings.ListenCallers.String()
+	upstream, address := startWithRawUpstream(t)
 	for target, path := range map[string]string{"http://other/read/1?a=b": "/read/1?a=b", "HTTP://other:80/read/2": "/read/2", "/read/3": "/read/3"} {
 		response := sendRaw(t, address, "GET "+target+" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
 		received, _ := upstream.request.Load().(string)
