--- a/core/mesh/attempt.go
+++ b/core/mesh/attempt.go
@@ -1,9 +1,6 @@
 package mesh
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 const (
 	// noTableRetryAfter is the delay after which a caller may retry at a node without
@@ -16,6 +13,14 @@
 	firstServerError = 500
 )
 
+// The statuses that promise callers that a request has not run; see promisesNotRun.
+const (
+	requestTimeout     = 408
+	misdirectedRequest = 421
+	tooManyRequests    = 429
+	serviceUnavailable = 503
+)
+
 // firstErrorStatus is the lowest HTTP status that does not count as success.
 const firstErrorStatus = 400
 
@@ -156,7 +161,7 @@
 // run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case requestTimeout, misdirectedRequest, tooManyRequests, serviceUnavailable:
 		return true
 	}
 	return false
