--- a/harness/faults/framing.go
+++ b/harness/faults/framing.go
@@ -51,8 +51,8 @@
 	unreadable string
 }
 
-// sendFramings sends requests that are well-formed, and one behind them that need not be, on connections to all
-// nodes until the period of the scenario ends.
+// sendFramings sends requests, well-formed and malformed, on connections to all nodes until the period of the
+// scenario ends.
 func sendFramings(r *runner, _ *instance) (wait func()) {
 	var senders conc.WaitGroup
 	for i := range framingSenders * len(r.instances) {
